--- /dev/null
+++ b/router/gossip.go
@@ -0,0 +1,277 @@
+package router
+
+// This file defines the exchange of heartbeats: each router beats to its zone;
+// one relay for each zone beats to the other zones' relays and passes on to its
+// zone what it hears there. So a router's traffic grows with its zone's size and
+// a relay's with the number of zones, not with the number of routers.
+
+import (
+	"context"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"bulrushtally/fleet"
+	"bulrushtally/peer"
+)
+
+// pausedAfter is a gap between two heartbeats of this process that shows it was paused.
+const pausedAfter = fleet.NearTimeout
+
+// gossip sends heartbeats until the context ends.
+func (r *Router) gossip(ctx context.Context) error {
+	t := time.NewTicker(fleet.HeartbeatInterval)
+	defer t.Stop()
+	for {
+		r.beat(time.Now())
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-t.C:
+		}
+	}
+}
+
+// beat takes stock of the members and sends one round of heartbeats.
+func (r *Router) beat(now time.Time) {
+	r.noticePause(now)
+	r.settleCharges(now)
+	r.mu.Lock()
+	gone := r.members.Expire(now)
+	for _, vm := range gone {
+		r.logger.Warn().Str("peer", vm).Msg("router-silent")
+	}
+	r.members.Update(r.store.View().Revision(), r.ready, r.leaving)
+	r.accounts.SetRelaying(now, r.members.Relaying())
+	r.accounts.Prune(now)
+	r.metrics.Gauge("members").Update(float64(len(r.members.Live(""))))
+	out := r.compose(now)
+	r.mu.Unlock()
+	r.reconcile(r.store.View(), false)
+	for _, o := range out {
+		if l := r.peers.Link(o.to.VM); l != nil {
+			l.Send(peer.KindHeartbeat, o.beat)
+		} else {
+			go r.peers.Connect(o.to.VM, o.to.Address)
+		}
+	}
+}
+
+// noticePause returns windows to cold after this process was paused: other
+// routers have led its shards meanwhile.
+func (r *Router) noticePause(now time.Time) {
+	r.mu.Lock()
+	gap := now.Sub(r.ticked)
+	r.ticked = now
+	if gap <= pausedAfter {
+		r.mu.Unlock()
+		return
+	}
+	r.members.Refresh(now)
+	r.mu.Unlock()
+	r.logger.Warn().Dur("gap", gap).Msg("process-was-paused")
+	for _, l := range r.led() {
+		l.Chill(now)
+	}
+}
+
+// outgoing is a heartbeat on its way.
+type outgoing struct {
+	to   fleet.Member
+	beat *peer.Heartbeat
+}
+
+// compose returns this round's heartbeats; r.mu is held.
+func (r *Router) compose(now time.Time) []outgoing {
+	self := r.members.Self()
+	mates := r.members.Live(self.Zone)
+	var near []fleet.Sums
+	if m, ok := r.accounts.Take(now, fleet.ScopeOwn); ok {
+		near = append(near, m)
+	}
+	relaying := r.members.Relaying()
+	var far []fleet.Member
+	if relaying {
+		if m, ok := r.accounts.Take(now, fleet.ScopeWorld); ok {
+			near = append(near, m)
+		}
+		far = r.others(self.Zone)
+	}
+	var out []outgoing
+	for _, m := range mates {
+		if m.VM != self.VM {
+			out = append(out, outgoing{m, r.heartbeat(m, near, far, relaying)})
+		}
+	}
+	if relaying {
+		out = append(out, r.composeFar(now, mates)...)
+	}
+	return out
+}
+
+// composeFar returns a relay's heartbeats to the other zones' relays.
+func (r *Router) composeFar(now time.Time, mates []fleet.Member) []outgoing {
+	var sums []fleet.Sums
+	if m, ok := r.accounts.Take(now, fleet.ScopeZone); ok {
+		sums = append(sums, m)
+	}
+	var out []outgoing
+	for _, zone := range r.members.Zones() {
+		to, ok := r.members.Relay(zone)
+		if ok && zone != r.settings.Zone {
+			out = append(out, outgoing{to, r.heartbeat(to, sums, mates, true)})
+		}
+	}
+	return out
+}
+
+// others returns the live routers of all other zones.
+func (r *Router) others(zone string) []fleet.Member {
+	var list []fleet.Member
+	for _, m := range r.members.Live("") {
+		if m.Zone != zone {
+			list = append(list, m)
+		}
+	}
+	return list
+}
+
+// heartbeat returns a heartbeat to one router. A list of members is sent whole
+// only when it differs from the last one sent there.
+func (r *Router) heartbeat(to fleet.Member, sums []fleet.Sums, list []fleet.Member, vouch bool) *peer.Heartbeat {
+	h := &peer.Heartbeat{Member: r.members.Self(), Sums: sums}
+	if !vouch {
+		return h
+	}
+	d := digest(list, to.Incarnation)
+	if r.listed[to.VM] == d {
+		h.Same = true
+		return h
+	}
+	r.listed[to.VM] = d
+	h.Members = list
+	return h
+}
+
+// digest identifies a list of members by what matters to routing.
+func digest(list []fleet.Member, to uint64) uint64 {
+	var d xxhash.Digest
+	d.Reset()
+	number := func(n uint64) {
+		var b [8]byte
+		for i := range b {
+			b[i] = byte(n >> (8 * i))
+		}
+		d.Write(b[:])
+	}
+	number(to)
+	for _, m := range list {
+		d.WriteString(m.VM)
+		number(m.Incarnation)
+		flags := uint64(0)
+		if m.Ready {
+			flags |= 1
+		}
+		if m.Leaving {
+			flags |= 2
+		}
+		number(flags)
+	}
+	return d.Sum64()
+}
+
+// Heartbeat takes in a router's heartbeat.
+func (r *Router) Heartbeat(l *peer.Link, h *peer.Heartbeat) {
+	now := time.Now()
+	r.mu.Lock()
+	changed := r.members.Heard(now, h.Member)
+	for _, m := range h.Members {
+		changed = r.members.Heard(now, m) || changed
+	}
+	changed = r.vouch(now, h) || changed
+	var remote []fleet.Charge
+	for _, s := range h.Sums {
+		remote = append(remote, r.accounts.Merge(now, s)...)
+	}
+	r.mu.Unlock()
+	r.countRemote(now, remote)
+	if changed {
+		r.reconcile(r.store.View(), false)
+	}
+	r.pullIfBehind(l, h.Member.Revision)
+}
+
+// vouch keeps the members alive that a relay vouches for and drops those that it
+// no longer lists; r.mu is held.
+func (r *Router) vouch(now time.Time, h *peer.Heartbeat) bool {
+	from := h.Member
+	if h.Same {
+		for _, vm := range r.vouched[from.VM] {
+			r.members.Vouch(now, vm)
+		}
+	}
+	if len(h.Members) == 0 {
+		return false
+	}
+	names := make([]string, len(h.Members))
+	for i, m := range h.Members {
+		names[i] = m.VM
+	}
+	r.vouched[from.VM] = names
+	return r.members.Only(now, append(h.Members, from), func(zone string) bool {
+		if from.Zone == r.settings.Zone {
+			return zone != from.Zone
+		}
+		return zone == from.Zone
+	})
+}
+
+// Up takes in a new link.
+func (r *Router) Up(l *peer.Link) {
+	r.mu.Lock()
+	changed := r.members.Heard(time.Now(), l.Peer())
+	delete(r.listed, l.Peer().VM)
+	r.mu.Unlock()
+	r.logger.Info().Str("peer", l.Peer().VM).Msg("link-up")
+	if changed {
+		r.reconcile(r.store.View(), false)
+	}
+	r.pullIfBehind(l, l.Peer().Revision)
+}
+
+// Down takes in that a link ended. Without a goodbye the router may live on, so
+// only its silence decides.
+func (r *Router) Down(l *peer.Link, goodbye bool) {
+	r.logger.Info().Str("peer", l.Peer().VM).Bool("goodbye", goodbye).Msg("link-down")
+	if !goodbye {
+		return
+	}
+	r.mu.Lock()
+	changed := r.members.Lost(l.Peer().VM)
+	r.mu.Unlock()
+	if changed {
+		r.reconcile(r.store.View(), false)
+	}
+}
+
+// neighbours returns the links to the routers of the own zone and, from a relay,
+// to the other relays.
+func (r *Router) neighbours() []*peer.Link {
+	r.mu.Lock()
+	list := r.members.Live(r.settings.Zone)
+	if r.members.Relaying() {
+		for _, zone := range r.members.Zones() {
+			if m, ok := r.members.Relay(zone); ok && zone != r.settings.Zone {
+				list = append(list, m)
+			}
+		}
+	}
+	r.mu.Unlock()
+	var links []*peer.Link
+	for _, m := range list {
+		if l := r.peers.Link(m.VM); l != nil {
+			links = append(links, l)
+		}
+	}
+	return links
+}
