--- a/backend/job.go
+++ b/backend/job.go
@@ -201,7 +201,9 @@
 		if !errors.As(err, &ae) || ae.Fault != FaultNotSent {
 			j.sent = true
 		}
-		return j.attemptFailed(a, err)
+		if r = j.rescue(a, err); r == nil {
+			return j.attemptFailed(a, err)
+		}
 	}
 	defer r.Close()
 	if l.model && (r.Status == 429 || r.Status == 503) {
@@ -214,6 +216,21 @@
 	return j.passBody(a, r)
 }
 
+// rescue opens the stream of an attempt whose answer did not arrive although the
+// engine may work on it. It costs no second run, so it needs no retry budget.
+func (j *job) rescue(a Attempt, err error) *Response {
+	var ae *AttemptError
+	if !j.leader.model || !j.request.Stream || !errors.As(err, &ae) || ae.Fault == FaultNotSent || j.ctx.Err() != nil {
+		return nil
+	}
+	r, err := j.resume(a)
+	if err != nil {
+		return nil
+	}
+	j.leader.metrics.Counter("streams_resumed").Inc(1)
+	return r
+}
+
 // attemptFailed turns an error into what the caller and the scheduler are told.
 func (j *job) attemptFailed(a Attempt, err error) (*request.Failure, schedule.Ending) {
 	l := j.leader
--- a/lab/fleet.go
+++ b/lab/fleet.go
@@ -271,3 +271,6 @@
 		f.Platform.Close()
 	}
 }
+
+// Revision returns the revision that Apply last led to.
+func (f *Fleet) Revision() uint64 { return f.store.View().Revision() }
--- a/router/router.go
+++ b/router/router.go
@@ -48,6 +48,7 @@
 	server   *caller.Server
 
 	root, links, serving *supervise.Tree
+	stopping             sync.Once
 	stopped              chan struct{}
 
 	charges charges
@@ -244,11 +245,13 @@
 	r.mu.Unlock()
 	r.logger.Info().Msg("stopping")
 	r.beat(time.Now())
-	go func() {
-		defer close(r.stopped)
-		r.root.Stop()
-		r.closer.Close()
-	}()
+	r.stopping.Do(func() {
+		go func() {
+			defer close(r.stopped)
+			r.root.Stop()
+			r.closer.Close()
+		}()
+	})
 	select {
 	case <-r.stopped:
 		r.logger.Info().Msg("stopped")
