Scheduler tests; a cheaper look for free windows

Cause: go test -bench Decision showed 1,439 ns (32 customers) and 1,606 ns (320) for a cycle of finish, enqueue and next: every look at a window did three comparisons of times. After looking at the count first: 455 and 603 ns, no allocation. Ruled out: a heap of customers; the scan of 320 counters is the smaller part (148 ns). The random workloads stay within twice a full batch.

--- /dev/null
+++ b/schedule/scheduler_test.go
@@ -0,0 +1,354 @@
+package schedule_test
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"bulrushtally/schedule"
+)
+
+var epoch = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+func everybody(string) schedule.Access { return schedule.Access{Mask: math.MaxUint32, Weight: 1} }
+
+func noCharge(string, float64) {}
+
+// newShard returns a scheduler with warm backend servers.
+func newShard(servers, slots int, access func(string) schedule.Access) *schedule.Scheduler {
+	s := schedule.New(schedule.Options{FirstEstimate: 100, MaxDebt: 1e6}, noCharge)
+	backends := make([]schedule.Backend, servers)
+	for i := range backends {
+		backends[i] = schedule.Backend{Name: fmt.Sprintf("engine-%d", i), Slots: slots}
+	}
+	s.Configure(epoch.Add(-time.Hour), backends, access)
+	warm(s, servers)
+	return s
+}
+
+// warm runs single requests until every window is full.
+func warm(s *schedule.Scheduler, servers int) {
+	now := epoch.Add(-time.Hour)
+	for range 8 {
+		now = now.Add(10 * time.Second)
+		var running []*schedule.Ticket
+		for i := range servers {
+			s.Enqueue(now, &schedule.Ticket{ID: uint64(i), Customer: "warm"})
+		}
+		for g, ok := s.Next(now); ok; g, ok = s.Next(now) {
+			running = append(running, g.Ticket)
+		}
+		for _, t := range running {
+			s.Finish(now.Add(10*time.Second), t, 0, schedule.EndedWell)
+		}
+	}
+}
+
+func TestWindowGrowsFromCold(t *testing.T) {
+	s := schedule.New(schedule.Options{}, noCharge)
+	s.Configure(epoch, []schedule.Backend{{Name: "engine", Slots: 8}}, everybody)
+	now := epoch
+	size := func() int { return s.Load(now).Window }
+	if got, want := size(), 1; got != want {
+		t.Fatalf("window at the start: %d, want %d", got, want)
+	}
+	var sizes []int
+	for range 30 {
+		s.Enqueue(now, &schedule.Ticket{Customer: "a"})
+		g, ok := s.Next(now)
+		if !ok {
+			t.Fatal("an idle server took nothing")
+		}
+		now = now.Add(time.Second)
+		s.Progress(now, g.Ticket, 1)
+		s.Finish(now, g.Ticket, 1, schedule.EndedWell)
+		sizes = append(sizes, size())
+	}
+	if got, want := sizes[3], 1; got != want {
+		t.Errorf("window after 4 s: %d, want %d", got, want)
+	}
+	if got, want := sizes[29], 8; got != want {
+		t.Errorf("window after 30 s of healthy work: %d, want %d", got, want)
+	}
+	s.Report(now, "engine", schedule.Report{Boot: "1"})
+	s.Report(now, "engine", schedule.Report{Boot: "2"})
+	if got, want := size(), 1; got != want {
+		t.Errorf("window after a new boot number: %d, want %d", got, want)
+	}
+}
+
+func TestColdAgainWithoutWarning(t *testing.T) {
+	s := newShard(1, 8, everybody)
+	for range 8 {
+		s.Enqueue(epoch, &schedule.Ticket{Customer: "a"})
+		s.Next(epoch)
+	}
+	now := epoch
+	for range 3 {
+		now = now.Add(time.Second)
+		s.Report(now, "engine-0", schedule.Report{Boot: "1", Running: 0})
+	}
+	if got, want := s.Load(now).Window, 1; got != want {
+		t.Errorf("window of a server that shows none of 8 requests in flight: %d, want %d", got, want)
+	}
+}
+
+func TestForeignRequestsLowerTheWindow(t *testing.T) {
+	s := newShard(1, 8, everybody)
+	now := epoch.Add(time.Minute)
+	s.Report(now, "engine-0", schedule.Report{Boot: "1", Running: 7})
+	if got, want := s.Load(now).Free, 1; got != want {
+		t.Errorf("free beside 7 requests of an earlier leader: %d, want %d", got, want)
+	}
+	s.Report(now, "engine-0", schedule.Report{Boot: "1", Running: 0})
+	if got, want := s.Load(now).Free, 8; got != want {
+		t.Errorf("free when they are gone: %d, want %d", got, want)
+	}
+}
+
+func TestLaggingReportOfOwnRequestsChangesNothing(t *testing.T) {
+	s := newShard(1, 8, everybody)
+	now := epoch.Add(time.Minute)
+	var running []*schedule.Ticket
+	for range 8 {
+		s.Enqueue(now, &schedule.Ticket{Customer: "a"})
+		g, _ := s.Next(now)
+		running = append(running, g.Ticket)
+	}
+	for _, x := range running {
+		s.Finish(now.Add(100*time.Millisecond), x, 1, schedule.EndedWell)
+	}
+	now = now.Add(time.Second)
+	s.Report(now, "engine-0", schedule.Report{Boot: "1", Running: 8})
+	if got, want := s.Load(now).Free, 8; got != want {
+		t.Errorf("free after own requests ended, by a report that lags: %d, want %d", got, want)
+	}
+}
+
+func TestRefusalAndDeath(t *testing.T) {
+	tests := []struct {
+		name   string
+		ending schedule.Ending
+		free   int
+	}{
+		{"well", schedule.EndedWell, 8},
+		{"canceled", schedule.EndedCanceled, 8},
+		{"refused", schedule.EndedRefused, 0},
+		{"failed", schedule.EndedFailed, 4},
+		{"dead", schedule.EndedDead, 0},
+	}
+	for _, tt := range tests {
+		s := newShard(1, 8, everybody)
+		now := epoch.Add(time.Minute)
+		s.Enqueue(now, &schedule.Ticket{Customer: "a"})
+		g, _ := s.Next(now)
+		s.Finish(now, g.Ticket, 1, tt.ending)
+		if got, want := s.Load(now).Free, tt.free; got != want {
+			t.Errorf("free after a request ended %s: %d, want %d", tt.name, got, want)
+		}
+	}
+}
+
+func TestSuspectsRunAlone(t *testing.T) {
+	s := newShard(2, 8, everybody)
+	for range 2 {
+		s.Enqueue(epoch, &schedule.Ticket{Customer: "a", Suspect: true})
+	}
+	first, ok := s.Next(epoch)
+	if !ok {
+		t.Fatal("the first suspect did not run")
+	}
+	if _, ok := s.Next(epoch); ok {
+		t.Error("a suspect runs beside another")
+	}
+	s.Finish(epoch, first.Ticket, 1, schedule.EndedWell)
+	if _, ok := s.Next(epoch); !ok {
+		t.Error("the second suspect did not run after the first ended")
+	}
+}
+
+func TestRetryAvoidsServer(t *testing.T) {
+	s := newShard(2, 8, everybody)
+	for range 8 {
+		s.Enqueue(epoch, &schedule.Ticket{Customer: "a", Avoid: "engine-0"})
+		g, ok := s.Next(epoch)
+		if !ok || g.Backend != "engine-1" {
+			t.Fatalf("retry went to %q, want engine-1", g.Backend)
+		}
+	}
+	if g, ok := s.Next(epoch); ok {
+		t.Errorf("retry went to %q although engine-1 is full", g.Backend)
+	}
+}
+
+func TestSelectorsBindGrants(t *testing.T) {
+	s := newShard(2, 4, func(c string) schedule.Access {
+		switch c {
+		case "left":
+			return schedule.Access{Mask: 1, Weight: 1}
+		case "right":
+			return schedule.Access{Mask: 2, Weight: 1}
+		}
+		return everybody(c)
+	})
+	for range 10 {
+		s.Enqueue(epoch, &schedule.Ticket{Customer: "left"})
+		s.Enqueue(epoch, &schedule.Ticket{Customer: "right"})
+	}
+	for g, ok := s.Next(epoch); ok; g, ok = s.Next(epoch) {
+		if (g.Ticket.Customer == "left") != (g.Backend == "engine-0") {
+			t.Errorf("customer %q was sent to %q", g.Ticket.Customer, g.Backend)
+		}
+	}
+	if got, want := s.Load(epoch).Running, 8; got != want {
+		t.Errorf("running: %d, want %d", got, want)
+	}
+}
+
+// TestDebtIsClamped merges a long partition's service and asks that nobody is shut out.
+func TestDebtIsClamped(t *testing.T) {
+	s := schedule.New(schedule.Options{FirstEstimate: 100, MaxDebt: 1000}, noCharge)
+	s.Configure(epoch, []schedule.Backend{{Name: "engine", Slots: 1}}, everybody)
+	for range 100 {
+		s.Enqueue(epoch, &schedule.Ticket{Customer: "debtor"})
+		s.Enqueue(epoch, &schedule.Ticket{Customer: "other"})
+	}
+	s.Remote(epoch, "debtor", 1e9)
+	others := 0
+	for {
+		g, ok := s.Next(epoch)
+		if !ok {
+			t.Fatal("idle while work waits")
+		}
+		s.Finish(epoch, g.Ticket, 100, schedule.EndedWell)
+		if g.Ticket.Customer == "debtor" {
+			break
+		}
+		others++
+	}
+	if got, want := others, 11; got > want {
+		t.Errorf("%d requests of another customer before the debtor's first, want at most %d", got, want)
+	}
+}
+
+// load is a random workload on one shard with a fake clock.
+type load struct {
+	s         *schedule.Scheduler
+	now       time.Time
+	customers int
+	maxCost   int
+	weights   []float64
+	served    []float64
+	running   map[*schedule.Ticket]int // tokens still to come
+	rand      *rand.Rand
+	slots     int
+	worstGap  float64
+	base      [][]float64
+}
+
+// step gives every running request one token, ends those that are done, and refills.
+func (l *load) step(t *rapid.T) {
+	l.now = l.now.Add(10 * time.Millisecond)
+	for x, left := range l.running {
+		var c int
+		fmt.Sscanf(x.Customer, "customer-%d", &c)
+		l.served[c] += 1 / l.weights[c]
+		l.s.Progress(l.now, x, x.Cost()+1)
+		if left <= 1 {
+			l.s.Finish(l.now, x, x.Cost(), schedule.EndedWell)
+			delete(l.running, x)
+			l.s.Enqueue(l.now, &schedule.Ticket{Customer: x.Customer})
+			continue
+		}
+		l.running[x] = left - 1
+	}
+	for g, ok := l.s.Next(l.now); ok; g, ok = l.s.Next(l.now) {
+		l.running[g.Ticket] = 1 + l.rand.IntN(l.maxCost)
+	}
+	if got, want := len(l.running), l.slots; got != want {
+		t.Fatalf("slots in use while every customer waits: %d, want %d", got, want)
+	}
+}
+
+// TestGapIsBounded runs random backlogged workloads and checks, over every
+// stretch, that no two customers' weighted service differs by more than twice a
+// full batch of the dearest requests, over the lesser weight.
+func TestGapIsBounded(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		seed := rapid.Uint64().Draw(t, "seed")
+		l := &load{
+			now: epoch, rand: rand.New(rand.NewPCG(seed, 1)), running: map[*schedule.Ticket]int{},
+			customers: rapid.IntRange(2, 8).Draw(t, "customers"),
+			maxCost:   rapid.IntRange(1, 60).Draw(t, "maxCost"),
+		}
+		servers, slots := rapid.IntRange(1, 4).Draw(t, "servers"), rapid.IntRange(1, 8).Draw(t, "slots")
+		l.slots = servers * slots
+		least := math.Inf(1)
+		for range l.customers {
+			w := float64(rapid.IntRange(1, 4).Draw(t, "weight"))
+			l.weights = append(l.weights, w)
+			least = min(least, w)
+		}
+		l.served = make([]float64, l.customers)
+		weightOf := func(name string) schedule.Access {
+			var c int
+			if n, _ := fmt.Sscanf(name, "customer-%d", &c); n == 0 {
+				return schedule.Access{Mask: math.MaxUint32, Weight: 1}
+			}
+			return schedule.Access{Mask: math.MaxUint32, Weight: l.weights[c]}
+		}
+		l.s = newShard(servers, slots, weightOf)
+		for c := range l.customers {
+			for range l.slots + 1 {
+				l.s.Enqueue(l.now, &schedule.Ticket{Customer: fmt.Sprintf("customer-%d", c)})
+			}
+		}
+		batch := float64(l.slots*l.maxCost) / least
+		low := make([]float64, l.customers*l.customers)
+		high := make([]float64, l.customers*l.customers)
+		for range 1500 {
+			l.step(t)
+			for i := range l.customers {
+				for j := range l.customers {
+					d, k := l.served[i]-l.served[j], i*l.customers+j
+					low[k], high[k] = min(low[k], d), max(high[k], d)
+					l.worstGap = max(l.worstGap, high[k]-low[k])
+				}
+			}
+		}
+		// The first-estimate of a customer without history is charged as if it were cost.
+		if got, want := l.worstGap, 2*batch+100/least; got > want {
+			t.Fatalf("greatest gap over any stretch: %.0f, want at most %.0f", got, want)
+		}
+	})
+}
+
+func BenchmarkDecision(b *testing.B) {
+	for _, customers := range []int{32, 320} {
+		b.Run(fmt.Sprintf("customers=%d/servers=32", customers), func(b *testing.B) {
+			s := newShard(32, 8, everybody)
+			var tickets []*schedule.Ticket
+			for c := range customers {
+				for range 4 {
+					s.Enqueue(epoch, &schedule.Ticket{Customer: fmt.Sprintf("customer-%d", c)})
+				}
+			}
+			for g, ok := s.Next(epoch); ok; g, ok = s.Next(epoch) {
+				tickets = append(tickets, g.Ticket)
+			}
+			b.ReportAllocs()
+			b.ResetTimer()
+			for i := 0; b.Loop(); i++ {
+				t := tickets[i%len(tickets)]
+				s.Finish(epoch, t, 100, schedule.EndedWell)
+				s.Enqueue(epoch, t)
+				g, _ := s.Next(epoch)
+				tickets[i%len(tickets)] = g.Ticket
+			}
+		})
+	}
+}
--- a/schedule/window.go
+++ b/schedule/window.go
@@ -63,14 +63,17 @@
 
 // Free returns how many more requests the backend server may be sent.
 func (w *Window) Free(now time.Time) int {
-	if w.down || w.draining || now.Before(w.blockedTo) {
+	free := int(w.size) - w.inflight
+	if free <= 0 || w.down || w.draining {
 		return 0
 	}
-	foreign := w.foreign
-	if now.Sub(w.reportedAt) > staleReport {
-		foreign = 0
+	if !w.blockedTo.IsZero() && now.Before(w.blockedTo) {
+		return 0
+	}
+	if w.foreign > 0 && now.Sub(w.reportedAt) <= staleReport {
+		free -= w.foreign
 	}
-	return max(0, int(w.size)-w.inflight-foreign)
+	return max(0, free)
 }
 
 func (w *Window) resize(limit int) {
