Experiment fairness with baselines; tests of links, accounts, configuration and racing offices

Causes found by the tests and mended: - An operator object's kind changed after it was accepted: strings of a fiber request point into buffers that fasthttp reuses.

--- a/caller/accept.go
+++ b/caller/accept.go
@@ -3,7 +3,6 @@
 // This file defines how HTTP requests become request.Requests.
 
 import (
-	"bytes"
 	"encoding/json"
 	"strings"
 
@@ -69,15 +68,14 @@
 	return svc, nil
 }
 
-// newRequest copies what must outlive the handler: fasthttp reuses its buffers.
 func (v *Server) newRequest(c *fiber.Ctx, number, customer string, svc *config.Object) *request.Request {
 	return &request.Request{
 		Number:     number,
 		Customer:   customer,
-		Service:    strings.Clone(svc.Name),
-		Method:     strings.Clone(c.Method()),
+		Service:    svc.Name,
+		Method:     c.Method(),
 		Headers:    forwarded(c),
-		Body:       bytes.Clone(c.Body()),
+		Body:       c.Body(),
 		Model:      svc.ModelService(),
 		Repeatable: repeatable(c, svc),
 	}
--- a/caller/server.go
+++ b/caller/server.go
@@ -75,6 +75,7 @@
 		ReadTimeout:           o.Timeout,
 		IdleTimeout:           idleTimeout,
 		DisableStartupMessage: true,
+		Immutable:             true, // strings of a request outlive its handler, fasthttp's buffers do not
 		ErrorHandler:          v.httpError,
 	})
 	v.routes()
--- a/cmd/bulrushlab/main.go
+++ b/cmd/bulrushlab/main.go
@@ -25,6 +25,7 @@
 					return lab.Demo(os.Stdout, c.Uint64("seed"))
 				},
 			},
+			measureCommand(seed),
 		},
 	}
 	if err := app.Run(context.Background(), os.Args); err != nil {
@@ -32,3 +33,38 @@
 		os.Exit(1)
 	}
 }
+
+func measureCommand(seed cli.Flag) *cli.Command {
+	return &cli.Command{
+		Name:      "measure",
+		Usage:     "run an experiment and print its figures beside targets and baselines",
+		ArgsUsage: "[EXPERIMENT]",
+		Flags: []cli.Flag{seed,
+			&cli.BoolFlag{Name: "json", Usage: "write JSON instead of a table"},
+			&cli.StringFlag{Name: "plot", Usage: "prefix of files for plots of service over time"},
+		},
+		Action: measure,
+	}
+}
+
+func measure(_ context.Context, c *cli.Command) error {
+	if c.Args().Len() == 0 {
+		for _, x := range lab.Experiments {
+			fmt.Printf("%-12s %s\n", x.Name, x.About)
+		}
+		return nil
+	}
+	r, err := lab.Measure(c.Args().First(), &lab.Env{Seed: c.Uint64("seed"), Log: os.Stderr})
+	if err != nil {
+		return err
+	}
+	if prefix := c.String("plot"); prefix != "" {
+		if err := r.Plot(prefix); err != nil {
+			return err
+		}
+	}
+	if c.Bool("json") {
+		return r.JSON(os.Stdout)
+	}
+	return r.Table(os.Stdout)
+}
--- a/cmd/bulrushtally/print.go
+++ b/cmd/bulrushtally/print.go
@@ -89,6 +89,10 @@
 	for _, r := range s.Routers {
 		fmt.Fprintf(t, "%s\t%s\t%d\t%t\t%t\n", r.VM, r.Zone, r.Revision, r.Ready, r.Leaving)
 	}
+	fmt.Fprintln(t, "SHARD\tWINDOW\tFREE\tWAITING")
+	for _, x := range s.Shards {
+		fmt.Fprintf(t, "%s\t%d\t%d\t%d\n", x.Shard, x.Window, x.Free, x.Waiting)
+	}
 	fmt.Fprintln(t, "BACKEND\tWINDOW\tIN FLIGHT")
 	for _, b := range s.Backends {
 		fmt.Fprintf(t, "%s\t%d\t%d\n", b.Name, b.Window, b.InFlight)
--- /dev/null
+++ b/fleet/fleet_test.go
@@ -0,0 +1,260 @@
+package fleet_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"bulrushtally/fleet"
+)
+
+var epoch = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+func member(vm, zone string, incarnation uint64) fleet.Member {
+	return fleet.Member{VM: vm, Zone: zone, Incarnation: incarnation, Ready: true, Address: vm + ":1"}
+}
+
+func newMembers(vm, zone string) *fleet.Members {
+	return fleet.NewMembers(member(vm, zone, 1))
+}
+
+func TestLeaderIsTheSameForAllAndMovesOnSilence(t *testing.T) {
+	vms := []string{"a-0", "a-1", "a-2"}
+	views := map[string]*fleet.Members{}
+	for _, vm := range vms {
+		views[vm] = newMembers(vm, "a")
+		for _, other := range vms {
+			views[vm].Heard(epoch, member(other, "a", 1))
+		}
+	}
+	leaders := map[string]int{}
+	for n := range 60 {
+		shard := fmt.Sprintf("models/a/%d", n)
+		want, _ := views["a-0"].Leader("a", shard)
+		leaders[want.VM]++
+		for _, vm := range vms {
+			if got, _ := views[vm].Leader("a", shard); got.VM != want.VM {
+				t.Fatalf("router %s has %s lead %s, want %s", vm, got.VM, shard, want.VM)
+			}
+		}
+	}
+	for _, vm := range vms {
+		if leaders[vm] < 5 {
+			t.Errorf("router %s leads %d of 60 shards", vm, leaders[vm])
+		}
+	}
+	v := views["a-0"]
+	v.Heard(epoch.Add(2*time.Second), member("a-1", "a", 1))
+	if got, want := fmt.Sprint(v.Expire(epoch.Add(3*time.Second))), "[a-2]"; got != want {
+		t.Errorf("silent after 3 s: %s, want %s", got, want)
+	}
+	for n := range 60 {
+		if got, _ := v.Leader("a", fmt.Sprintf("models/a/%d", n)); got.VM == "a-2" {
+			t.Error("a silent router still leads")
+		}
+	}
+}
+
+func TestLeaderIsReadyAndStays(t *testing.T) {
+	m := newMembers("a-0", "a")
+	m.Update(1, true, true)
+	if _, ok := m.Leader("a", "x"); ok {
+		t.Error("a router that stops leads")
+	}
+	m.Update(1, false, false)
+	if _, ok := m.Leader("a", "x"); ok {
+		t.Error("a router that is not ready leads")
+	}
+	m.Update(1, true, false)
+	if got, ok := m.Leader("a", "x"); !ok || got.VM != "a-0" {
+		t.Error("the only router does not lead")
+	}
+}
+
+func TestIncarnations(t *testing.T) {
+	m := newMembers("a-0", "a")
+	m.Heard(epoch, member("a-1", "a", 7))
+	late := member("a-1", "a", 6)
+	late.Ready = false
+	m.Heard(epoch, late)
+	if got, _ := m.Get("a-1"); got.Incarnation != 7 || !got.Ready {
+		t.Errorf("late news of an earlier incarnation was taken in: %+v", got)
+	}
+	m.Heard(epoch, member("a-0", "a", 9))
+	if got, want := m.Self().Incarnation, uint64(10); got != want {
+		t.Errorf("own incarnation after others know a higher one: %d, want %d", got, want)
+	}
+}
+
+func TestRelayListDropsTheDead(t *testing.T) {
+	m := newMembers("a-0", "a")
+	m.Heard(epoch, member("b-0", "b", 1))
+	m.Heard(epoch, member("b-1", "b", 1))
+	now := epoch.Add(3 * time.Second)
+	m.Vouch(now, "b-0")
+	dropped := m.Only(now, []fleet.Member{member("b-0", "b", 1)}, func(z string) bool { return z == "b" })
+	if _, ok := m.Get("b-1"); ok || !dropped {
+		t.Error("a router that its zone's relay no longer lists is still live")
+	}
+	if _, ok := m.Get("b-0"); !ok {
+		t.Error("a listed router was dropped")
+	}
+}
+
+var key = fleet.Key{Service: "models", Customer: "c"}
+
+// router is one router's accounts with what its schedulers counted.
+type router struct {
+	*fleet.Accounts
+	vm, zone string
+	counted  float64
+	relay    bool
+}
+
+func (r *router) hear(now time.Time, m fleet.Sums) {
+	for _, c := range r.Merge(now, m) {
+		r.counted += c.Cost
+	}
+}
+
+// newFleet returns two zones of two routers each, whose first is the relay.
+func newFleet() []*router {
+	var list []*router
+	for _, zone := range []string{"a", "b"} {
+		for n := range 2 {
+			vm := fmt.Sprintf("%s-%d", zone, n)
+			r := &router{Accounts: fleet.NewAccounts(epoch, vm, 1), vm: vm, zone: zone, relay: n == 0}
+			r.SetRelaying(epoch, r.relay)
+			list = append(list, r)
+		}
+	}
+	return list
+}
+
+// exchange sends one round of heartbeats; drop says which are lost.
+func exchange(now time.Time, list []*router, drop func(from, to *router) bool) {
+	type message struct {
+		from *router
+		near []fleet.Sums
+		far  []fleet.Sums
+	}
+	var out []message
+	for _, r := range list {
+		m := message{from: r}
+		if s, ok := r.Take(now, fleet.ScopeOwn); ok {
+			m.near = append(m.near, s)
+		}
+		if r.relay {
+			if s, ok := r.Take(now, fleet.ScopeWorld); ok {
+				m.near = append(m.near, s)
+			}
+			if s, ok := r.Take(now, fleet.ScopeZone); ok {
+				m.far = append(m.far, s)
+			}
+		}
+		out = append(out, m)
+	}
+	for _, m := range out {
+		for _, to := range list {
+			if to == m.from || drop(m.from, to) {
+				continue
+			}
+			sums := m.near
+			if to.zone != m.from.zone {
+				if !to.relay {
+					continue
+				}
+				sums = m.far
+			}
+			for _, s := range sums {
+				to.hear(now, s)
+			}
+		}
+	}
+}
+
+func never(_, _ *router) bool { return false }
+
+// TestAccountsConverge gives random service everywhere, loses random messages,
+// and checks that in the end every router has counted all service of the others once.
+func TestAccountsConverge(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		list := newFleet()
+		now := epoch
+		given := map[string]float64{}
+		total := 0.0
+		for range rapid.IntRange(1, 20).Draw(t, "rounds") {
+			now = now.Add(time.Second)
+			r := list[rapid.IntRange(0, 3).Draw(t, "router")]
+			cost := float64(rapid.IntRange(-50, 500).Draw(t, "cost"))
+			r.Add(key, cost)
+			given[r.vm] += cost
+			total += cost
+			lost := rapid.IntRange(0, 3).Draw(t, "lost")
+			exchange(now, list, func(from, _ *router) bool { return from == list[lost] })
+		}
+		// Sums are sent when they change, so one more change makes good what was lost.
+		for _, r := range list {
+			r.Add(key, 1)
+			given[r.vm]++
+			total++
+		}
+		for range 4 {
+			now = now.Add(time.Second)
+			exchange(now, list, never)
+		}
+		for _, r := range list {
+			if got, want := r.counted, total-given[r.vm]; got != want {
+				t.Errorf("router %s counted %.0f of others' service, want %.0f", r.vm, got, want)
+			}
+		}
+	})
+}
+
+func TestNewcomerStartsFromTheSumsThatItFinds(t *testing.T) {
+	old := fleet.NewAccounts(epoch, "a-0", 1)
+	old.Add(key, 1000)
+	now := epoch.Add(time.Hour)
+	m, _ := old.Take(now, fleet.ScopeOwn)
+	newcomer := fleet.NewAccounts(now, "a-1", 1)
+	if got := newcomer.Merge(now, m); len(got) != 0 {
+		t.Errorf("newcomer counted service from before its time: %v", got)
+	}
+	old.Add(key, 10)
+	m, _ = old.Take(now, fleet.ScopeOwn)
+	if got, want := fmt.Sprint(newcomer.Merge(now, m)), "[{{models c} 10}]"; got != want {
+		t.Errorf("newcomer counted %s, want %s", got, want)
+	}
+	if got := newcomer.Merge(now, m); len(got) != 0 {
+		t.Errorf("a message that came twice was counted again: %v", got)
+	}
+}
+
+func TestNewRelayDoesNotCountHistoryAgain(t *testing.T) {
+	list := newFleet()
+	now := epoch
+	for range 5 {
+		now = now.Add(time.Second)
+		list[1].Add(key, 100)
+		exchange(now, list, never)
+	}
+	for range 3 {
+		now = now.Add(time.Second)
+		exchange(now, list, never)
+	}
+	before := list[3].counted
+	for i, relay := range []bool{false, true} {
+		list[i].relay = relay
+		list[i].SetRelaying(now, relay)
+	}
+	list[1].Add(key, 7)
+	for range 4 {
+		now = now.Add(time.Second)
+		exchange(now, list, never)
+	}
+	if got, want := list[3].counted-before, 7.0; got != want {
+		t.Errorf("counted after the relay changed: %.0f, want %.0f", got, want)
+	}
+}
--- a/lab/call.go
+++ b/lab/call.go
@@ -45,6 +45,9 @@
 	Whole      bool    // the answer is complete
 	Own        bool    // the answer is this call's
 	Err        error
+
+	prompt string
+	meter  func(cost int)
 }
 
 // Good reports whether the caller got the whole answer to its own call.
@@ -62,13 +65,22 @@
 	Content string `json:"content"`
 }
 
+// Metered asks for a streamed completion and tells of the cost as it comes.
+func (c *Client) Metered(ctx context.Context, address, customer, prompt string, maxTokens int, meter func(cost int)) Result {
+	return c.complete(ctx, address, customer, prompt, maxTokens, true, meter)
+}
+
 // Complete asks for a completion of a prompt.
 func (c *Client) Complete(ctx context.Context, address, customer, prompt string, maxTokens int, stream bool) Result {
+	return c.complete(ctx, address, customer, prompt, maxTokens, stream, func(int) {})
+}
+
+func (c *Client) complete(ctx context.Context, address, customer, prompt string, maxTokens int, stream bool, meter func(cost int)) Result {
 	body, err := json.Marshal(chatBody{ModelService, []chatMessage{{"user", prompt}}, maxTokens, stream})
 	if err != nil {
 		return Result{Customer: customer, Err: err}
 	}
-	r := Result{Customer: customer}
+	r := Result{Customer: customer, prompt: prompt, meter: meter}
 	began := time.Now()
 	resp, err := c.post(ctx, "http://"+address+"/v1/chat/completions", customer, body, nil)
 	if err != nil {
@@ -193,7 +205,9 @@
 		if k.Choices[0].Delta.Content != "" {
 			if r.Tokens == 0 {
 				r.FirstToken = time.Since(began)
+				r.meter(len(r.prompt) / 4)
 			}
+			r.meter(2)
 			r.Tokens++
 			text.WriteString(k.Choices[0].Delta.Content)
 		}
--- a/lab/fleet.go
+++ b/lab/fleet.go
@@ -32,6 +32,7 @@
 	Engine         standin.EngineOptions
 	PlainWork      time.Duration
 	Warm           bool // engines bear all their slots from the start
+	Wires          bool // what lies between zones can be cut
 	Seed           uint64
 	Log            io.Writer // of all routers; nil for none
 	LogLevel       string
@@ -62,11 +63,12 @@
 	Log      *platform.Log // with a client of its own
 
 	store *config.Store
+	wires *wires
 }
 
 // StartFleet starts a fleet and returns once every router is ready.
 func StartFleet(o FleetOptions) (*Fleet, error) {
-	f := &Fleet{Options: o, store: config.NewStore()}
+	f := &Fleet{Options: o, store: config.NewStore(), wires: newWires(o.Zones, o.Wires)}
 	if err := f.start(); err != nil {
 		f.Close()
 		return nil, err
@@ -121,6 +123,9 @@
 // CallerKey returns the bearer key of a customer's callers.
 func CallerKey(customer string) string { return "key-of-" + customer }
 
+// enginePrefix begins the names of model engines.
+const enginePrefix = "engine"
+
 // seed writes the fleet's configuration to the platform.
 func (f *Fleet) seed() error {
 	o := f.Options
@@ -135,7 +140,7 @@
 		&config.Object{Kind: config.KindAccess, Name: "all-plain", Service: PlainService},
 	)
 	for i, e := range f.Engines {
-		list = append(list, f.backend("engine", i, ModelService, e.Address(), o.Engine.Slots))
+		list = append(list, f.backend(enginePrefix, i, ModelService, e.Address(), o.Engine.Slots))
 	}
 	for i, p := range f.Plains {
 		list = append(list, f.backend("plain", i, PlainService, p.Address(), 8))
@@ -186,7 +191,7 @@
 			return err
 		}
 		f.Routers = append(f.Routers, r)
-		peers = append(peers, r.PeerAddress())
+		peers = append(peers, r.Advertised())
 		r.Start()
 	}
 	return f.WaitReady(readyTimeout)
@@ -199,7 +204,7 @@
 func (f *Fleet) NewRouter(i int) (*router.Router, error) {
 	var peers []string
 	for _, r := range f.Routers {
-		peers = append(peers, r.PeerAddress())
+		peers = append(peers, r.Advertised())
 	}
 	return f.newRouter(i, peers)
 }
@@ -209,10 +214,12 @@
 	zone := f.Options.Zones[i%len(f.Options.Zones)]
 	s.VM = fmt.Sprintf("%s-%d", zone, i/len(f.Options.Zones))
 	s.Zone = zone
-	s.Listen, s.PeerListen = anyPort, anyPort
+	s.Listen = anyPort
+	if err := f.wires.connect(s, f.Platform.Address(), i%len(f.Options.Zones)); err != nil {
+		return nil, err
+	}
 	s.PeerSecret = "laboratory-secret"
 	s.PeerAddresses = append([]string(nil), peers...)
-	s.PlatformAddress = f.Platform.Address()
 	s.FirstOperatorKeyHash = config.HashKey(OperatorKey)
 	s.FirstOperatorOffice = "kingston"
 	if f.Options.Change != nil {
@@ -267,6 +274,7 @@
 	for _, p := range f.Plains {
 		p.Close()
 	}
+	f.wires.close()
 	if f.Platform != nil {
 		f.Platform.Close()
 	}
--- a/operator/api.go
+++ b/operator/api.go
@@ -43,7 +43,16 @@
 	Revision uint64          `json:"revision"`
 	Ready    bool            `json:"ready"`
 	Routers  []RouterStatus  `json:"routers"`
-	Backends []BackendStatus `json:"backends"` // of the shards that this router leads
+	Shards   []ShardStatus   `json:"shards"`   // that this router leads
+	Backends []BackendStatus `json:"backends"` // of these shards
+}
+
+// ShardStatus is a shard's load at its leader, in requests.
+type ShardStatus struct {
+	Shard   string `json:"shard"`
+	Window  int    `json:"window"`
+	Free    int    `json:"free"`
+	Waiting int    `json:"waiting"`
 }
 
 // RouterStatus is what is known of one router.
--- a/operator/change.go
+++ b/operator/change.go
@@ -42,7 +42,7 @@
 	if err := d.Decode(o); err != nil {
 		return fail(c, fiber.StatusBadRequest, "bad-json", err.Error(), "send an object as the API's description has it")
 	}
-	o.Kind, o.Name, o.Shard = config.Kind(c.Params("kind")), strings.Clone(c.Params("name")), 0
+	o.Kind, o.Name, o.Shard = config.Kind(c.Params("kind")), c.Params("name"), 0
 	w, err := a.wish(c, o)
 	if err != nil {
 		return err
@@ -51,7 +51,7 @@
 }
 
 func (a *API) remove(c *fiber.Ctx) error {
-	o := &config.Object{Kind: config.Kind(strings.Clone(c.Params("kind"))), Name: strings.Clone(c.Params("name"))}
+	o := &config.Object{Kind: config.Kind(c.Params("kind")), Name: c.Params("name")}
 	w, err := a.wish(c, o)
 	if err != nil {
 		return err
@@ -67,7 +67,7 @@
 	if err := json.Unmarshal(c.Body(), &l); err != nil {
 		return fail(c, fiber.StatusBadRequest, "bad-json", err.Error(), `send {"set":{"k":"v"},"remove":["k"]}`)
 	}
-	id := config.ID{Kind: config.Kind(strings.Clone(c.Params("kind"))), Name: strings.Clone(c.Params("name"))}
+	id := config.ID{Kind: config.Kind(c.Params("kind")), Name: c.Params("name")}
 	w, err := a.wish(c, nil)
 	if err != nil {
 		return err
@@ -125,7 +125,7 @@
 		}
 		return c.JSON(Accepted{Change: ch, Effects: effects, DryRun: true})
 	}
-	number := strings.Clone(c.Get(HeaderRequest))
+	number := c.Get(HeaderRequest)
 	if number == "" {
 		number = uuid.NewString()
 	}
--- a/peer/peers.go
+++ b/peer/peers.go
@@ -177,7 +177,7 @@
 	if p.options.ClientTLS != nil {
 		scheme = "wss://"
 	}
-	w := websocket.Dialer{HandshakeTimeout: p.options.Timeout, TLSClientConfig: p.options.ClientTLS}
+	w := websocket.Dialer{HandshakeTimeout: p.options.Timeout, TLSClientConfig: p.options.ClientTLS, NetDialContext: p.fromOwnAddress}
 	c, _, err := w.Dial(scheme+address+"/peer", nil)
 	if err != nil {
 		return nil, &ConnectError{address, err}
@@ -197,6 +197,16 @@
 	return l, nil
 }
 
+// fromOwnAddress dials from the IP number that this router listens on, which is
+// the one that the others know.
+func (p *Peers) fromOwnAddress(ctx context.Context, network, address string) (net.Conn, error) {
+	d := net.Dialer{Timeout: p.options.Timeout}
+	if own, ok := p.listener.Addr().(*net.TCPAddr); ok && !own.IP.IsUnspecified() {
+		d.LocalAddr = &net.TCPAddr{IP: own.IP}
+	}
+	return d.DialContext(ctx, network, address)
+}
+
 func (p *Peers) accept(c *fasthttp.RequestCtx) {
 	if string(c.Path()) != "/peer" {
 		c.Error("routers link at /peer", 404)
--- a/router/router.go
+++ b/router/router.go
@@ -203,6 +203,9 @@
 // PeerAddress returns the address that other routers dial.
 func (r *Router) PeerAddress() string { return r.peers.Address() }
 
+// Advertised returns the address that this router tells other routers to dial.
+func (r *Router) Advertised() string { return r.self().Address }
+
 // Store returns the router's configuration.
 func (r *Router) Store() *config.Store { return r.store }
 
--- a/router/status.go
+++ b/router/status.go
@@ -3,6 +3,8 @@
 // This file defines what operators see of a router.
 
 import (
+	"time"
+
 	"bulrushtally/backend"
 	"bulrushtally/caller"
 	"bulrushtally/operator"
@@ -30,6 +32,11 @@
 		}
 		s.Routers = append(s.Routers, operator.RouterStatus{VM: m.VM, Zone: m.Zone, Revision: m.Revision, Ready: m.Ready, Leaving: m.Leaving})
 	}
+	now := time.Now()
+	for _, l := range r.led() {
+		h := l.Hint(now)
+		s.Shards = append(s.Shards, operator.ShardStatus{Shard: l.ID().String(), Window: h.Window, Free: h.Free, Waiting: h.Waiting})
+	}
 	r.Windows(func(name string, size, inflight int) {
 		s.Backends = append(s.Backends, operator.BackendStatus{Name: name, Window: size, InFlight: inflight})
 	})
