Relays find each other; metrics of a router's own; nine experiments

A router that is taken for its zone's relay now answers with its zone's routers, a new link begins by telling of routers that the other may not know, and a vouched router that was forgotten is taken in again. Ruled out: lost list messages (the digests matched). Also: each router registers its metrics in a registry of its own.

--- a/fleet/members.go
+++ b/fleet/members.go
@@ -75,11 +75,14 @@
 	return old == nil || old.Incarnation != n.Incarnation || old.Ready != n.Ready || old.Leaving != n.Leaving || old.Address != n.Address
 }
 
-// Vouch takes in that a relay still hears a router.
-func (m *Members) Vouch(now time.Time, vm string) {
-	if x := m.members[vm]; x != nil {
+// Vouch takes in that a relay still hears a router that it listed before, and
+// reports whether that is news.
+func (m *Members) Vouch(now time.Time, n Member) bool {
+	if x := m.members[n.VM]; x != nil {
 		x.heard = now
+		return false
 	}
+	return m.Heard(now, n)
 }
 
 // Only takes in that a relay's list, already heard, is all there is of the other
@@ -109,9 +112,9 @@
 	return true
 }
 
-// Expire forgets the routers that have been silent for too long and returns their names.
-func (m *Members) Expire(now time.Time) []string {
-	var gone []string
+// Expire forgets the routers that have been silent for too long and returns them, by name.
+func (m *Members) Expire(now time.Time) []Member {
+	var gone []Member
 	for vm, x := range m.members {
 		limit := FarTimeout
 		if x.Zone == m.self.Zone {
@@ -119,10 +122,10 @@
 		}
 		if now.Sub(x.heard) > limit {
 			delete(m.members, vm)
-			gone = append(gone, vm)
+			gone = append(gone, x.Member)
 		}
 	}
-	slices.Sort(gone)
+	slices.SortFunc(gone, func(a, b Member) int { return strings.Compare(a.VM, b.VM) })
 	return gone
 }
 
--- a/lab/call.go
+++ b/lab/call.go
@@ -80,7 +80,7 @@
 	if err != nil {
 		return Result{Customer: customer, Err: err}
 	}
-	r := Result{Customer: customer, prompt: prompt, meter: meter}
+	r := Result{Customer: customer, Own: true, prompt: prompt, meter: meter}
 	began := time.Now()
 	resp, err := c.post(ctx, "http://"+address+"/v1/chat/completions", customer, body, nil)
 	if err != nil {
@@ -92,7 +92,8 @@
 	text := ""
 	switch {
 	case r.Status != http.StatusOK:
-		r.Err = r.readFailure(resp.Body)
+		r.Err, r.Own = r.readFailure(resp.Body), true
+		return r
 	case stream:
 		text, r.Err = r.readStream(resp.Body, began)
 	default:
--- a/lab/measure.go
+++ b/lab/measure.go
@@ -29,6 +29,14 @@
 // Experiments lists every experiment.
 var Experiments = []Experiment{
 	{"fairness", "16 backlogged customers, 3 large, unevenly spread over routers, cost unknown", fairness},
+	{"flood", "one customer sends without measure beside 15 light ones", flood},
+	{"coldstart", "engines start cold under full load, and turn cold again unannounced", coldstart},
+	{"zonechange", "a zone goes out of service under load and returns", zonechange},
+	{"partition", "a zone is cut off from the others and the platform, and rejoins", partition},
+	{"path", "first-token time, processor time and memory that the routers add", path},
+	{"scale", "control traffic, processor time and memory as the fleet grows", scale},
+	{"spread", "time from a change's acceptance to its being in force everywhere", spread},
+	{"faults", "faults at random under load", faults},
 }
 
 // Measure runs an experiment by name.
--- a/lab/meter.go
+++ b/lab/meter.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"math"
+	"sync"
 	"sync/atomic"
 	"time"
 )
@@ -13,9 +14,12 @@
 // sampleInterval is the time between two samples of service.
 const sampleInterval = 100 * time.Millisecond
 
-// Meter counts service by customer, token by token.
+// Meter counts service by customer, token by token. Its samples may be read when
+// Run has returned, and by a last look while it runs.
 type Meter struct {
 	service []atomic.Int64
+
+	mu      sync.Mutex
 	samples [][]float64
 	at      []time.Duration
 }
@@ -36,8 +40,10 @@
 		for i := range m.service {
 			row[i] = float64(m.service[i].Load())
 		}
+		m.mu.Lock()
 		m.samples = append(m.samples, row)
 		m.at = append(m.at, time.Since(began))
+		m.mu.Unlock()
 		select {
 		case <-ctx.Done():
 			return
@@ -68,6 +74,8 @@
 
 // Jain returns Jain's index of the customers' weighted service from a time on.
 func (m *Meter) Jain(from time.Duration, customers []int, weight func(int) float64) float64 {
+	m.mu.Lock()
+	defer m.mu.Unlock()
 	first := m.first(from)
 	last := m.samples[len(m.samples)-1]
 	sum, squares := 0.0, 0.0
@@ -79,6 +87,39 @@
 	return sum * sum / (float64(len(customers)) * squares)
 }
 
+// now returns the time of the last sample.
+func (m *Meter) now() time.Duration {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.at[len(m.at)-1]
+}
+
+// rateOver returns the whole service per second over the time that comes.
+func (m *Meter) rateOver(d time.Duration) float64 {
+	total := func() (sum int64) {
+		for i := range m.service {
+			sum += m.service[i].Load()
+		}
+		return sum
+	}
+	before := total()
+	time.Sleep(d)
+	return float64(total()-before) / d.Seconds()
+}
+
+// least returns the least service of any customer from a time on, in percent of the mean.
+func (m *Meter) least(from time.Duration) float64 {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	first, last := m.first(from), m.samples[len(m.samples)-1]
+	least, sum := math.Inf(1), 0.0
+	for i := range last {
+		least = min(least, last[i]-first[i])
+		sum += last[i] - first[i]
+	}
+	return 100 * least * float64(len(last)) / sum
+}
+
 func (m *Meter) first(from time.Duration) []float64 {
 	for n, row := range m.samples {
 		if m.at[n] >= from {
--- a/lab/system.go
+++ b/lab/system.go
@@ -5,6 +5,9 @@
 
 import (
 	"strconv"
+	"sync"
+
+	"bulrushtally/router"
 )
 
 func itoa(n int) string { return strconv.Itoa(n) }
@@ -14,6 +17,21 @@
 	*Fleet
 	Policy Policy
 	lone   []*loneRouter
+
+	mu sync.Mutex // guards Routers once the system runs
+}
+
+// swap puts a new router in the place of one that was stopped.
+func (s *System) swap(i int, r *router.Router) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.Routers[i] = r
+}
+
+// address returns the address of a router for callers.
+func (s *System) address(i int) string {
+	list := s.Addresses()
+	return list[i%len(list)]
 }
 
 // StartSystem starts backend servers and routers under a policy.
@@ -44,6 +62,8 @@
 
 // Addresses returns the routers' addresses for callers.
 func (s *System) Addresses() []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	var list []string
 	for _, r := range s.Routers {
 		list = append(list, r.Address())
--- a/peer/message.go
+++ b/peer/message.go
@@ -66,6 +66,7 @@
 	Members []fleet.Member `cbor:"2,keyasint,omitempty"` // from a relay: all other routers that it vouches for
 	Same    bool           `cbor:"3,keyasint,omitempty"` // from a relay: it vouches for those it listed last
 	Sums    []fleet.Sums   `cbor:"4,keyasint,omitempty"`
+	Known   []fleet.Member `cbor:"5,keyasint,omitempty"` // when a link opens: routers that the other may not know of
 }
 
 // Credit allows the sender of an answer further bytes.
--- a/router/bootstrap.go
+++ b/router/bootstrap.go
@@ -5,6 +5,8 @@
 import (
 	"context"
 	"time"
+
+	"bulrushtally/fleet"
 )
 
 // Timing of bootstrap.
@@ -14,21 +16,36 @@
 	settleTime        = 1500 * time.Millisecond // in which a newcomer hears of the others
 )
 
-// bootstrap dials the routers that the settings and the platform's list name,
-// until the context ends.
+// lostRouter is a router that went silent, and may be back after a partition.
+type lostRouter struct {
+	fleet.Member
+	at time.Time
+}
+
+// Bounds on what a router keeps of lost ones and dials at once.
+const (
+	lostTime     = 24 * time.Hour
+	dialsPerZone = 2
+)
+
+// bootstrap looks for routers until the context ends: those in the settings, those
+// that went silent, and those on the platform's list.
 func (r *Router) bootstrap(ctx context.Context) error {
 	t := time.NewTicker(bootstrapInterval)
 	defer t.Stop()
 	var listed time.Time
 	known := map[string]string{} // VM by address
 	for {
-		addresses := r.settings.PeerAddresses
+		for _, a := range r.settings.PeerAddresses {
+			r.dialUnknown(a, known)
+		}
+		candidates := r.lostRouters()
 		if time.Since(listed) > listInterval {
 			listed = time.Now()
-			addresses = append(addresses[:len(addresses):len(addresses)], r.listedRouters()...)
+			candidates = append(candidates, r.listedRouters()...)
 		}
-		for _, a := range addresses {
-			r.dialUnknown(a, known)
+		for _, m := range r.worthDialing(candidates) {
+			r.dialUnknown(m.Address, known)
 		}
 		select {
 		case <-ctx.Done():
@@ -38,6 +55,44 @@
 	}
 }
 
+// worthDialing returns the candidates of the own zone that are not known, and a
+// few of each other zone of which nobody is known; relays tell of the rest.
+func (r *Router) worthDialing(candidates []fleet.Member) []fleet.Member {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	inZone := map[string]int{}
+	for _, m := range r.members.Live("") {
+		inZone[m.Zone] += dialsPerZone
+	}
+	inZone[r.settings.Zone] = 0
+	var out []fleet.Member
+	for _, m := range candidates {
+		if _, live := r.members.Get(m.VM); live || inZone[m.Zone] >= dialsPerZone {
+			continue
+		}
+		if m.Zone != r.settings.Zone {
+			inZone[m.Zone]++
+		}
+		out = append(out, m)
+	}
+	return out
+}
+
+// lostRouters returns the silent routers that may be back.
+func (r *Router) lostRouters() []fleet.Member {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var list []fleet.Member
+	for vm, l := range r.lost {
+		if _, live := r.members.Get(vm); live || time.Since(l.at) > lostTime {
+			delete(r.lost, vm)
+			continue
+		}
+		list = append(list, l.Member)
+	}
+	return list
+}
+
 func (r *Router) dialUnknown(address string, known map[string]string) {
 	if address == r.self().Address {
 		return
@@ -46,7 +101,7 @@
 		r.mu.Lock()
 		_, live := r.members.Get(vm)
 		r.mu.Unlock()
-		if live {
+		if live || r.peers.Link(vm) != nil {
 			return
 		}
 	}
@@ -58,19 +113,19 @@
 	known[address] = l.Peer().VM
 }
 
-// listedRouters returns the addresses of routers on the platform's list.
-func (r *Router) listedRouters() []string {
+// listedRouters returns the routers on the platform's list.
+func (r *Router) listedRouters() []fleet.Member {
 	list, err := r.platform.VMs()
 	if err != nil {
 		return nil
 	}
-	var addresses []string
+	var out []fleet.Member
 	for _, vm := range list {
 		if vm.Role == "router" && !vm.Leaving && vm.Name != r.settings.VM {
-			addresses = append(addresses, vm.Address)
+			out = append(out, fleet.Member{VM: vm.Name, Zone: vm.Zone, Address: vm.Address})
 		}
 	}
-	return addresses
+	return out
 }
 
 // follow keeps the configuration up with the platform until the context ends. A
--- a/router/gossip.go
+++ b/router/gossip.go
@@ -37,9 +37,9 @@
 	r.noticePause(now)
 	r.settleCharges(now)
 	r.mu.Lock()
-	gone := r.members.Expire(now)
-	for _, vm := range gone {
-		r.logger.Warn().Str("peer", vm).Msg("router-silent")
+	for _, m := range r.members.Expire(now) {
+		r.lost[m.VM] = lostRouter{m, now}
+		r.logger.Warn().Str("peer", m.VM).Msg("router-silent")
 	}
 	r.members.Update(r.store.View().Revision(), r.ready, r.leaving)
 	r.accounts.SetRelaying(now, r.members.Relaying())
@@ -185,8 +185,10 @@
 	now := time.Now()
 	r.mu.Lock()
 	changed := r.members.Heard(now, h.Member)
-	for _, m := range h.Members {
-		changed = r.members.Heard(now, m) || changed
+	for _, list := range [][]fleet.Member{h.Members, h.Known} {
+		for _, m := range list {
+			changed = r.members.Heard(now, m) || changed
+		}
 	}
 	changed = r.vouch(now, h) || changed
 	var remote []fleet.Charge
@@ -199,6 +201,24 @@
 		r.reconcile(r.store.View(), false)
 	}
 	r.pullIfBehind(l, h.Member.Revision)
+	r.redirect(l, h)
+}
+
+// redirect tells a relay of another zone, which took this router for the relay
+// here, of all routers of this zone. Without, two relays that each know only the
+// other's neighbour would never find each other.
+func (r *Router) redirect(l *peer.Link, h *peer.Heartbeat) {
+	if h.Member.Zone == r.settings.Zone || len(h.Members) == 0 && !h.Same {
+		return
+	}
+	r.mu.Lock()
+	if r.members.Relaying() {
+		r.mu.Unlock()
+		return
+	}
+	reply := &peer.Heartbeat{Member: r.members.Self(), Members: r.members.Live(r.settings.Zone)}
+	r.mu.Unlock()
+	l.Send(peer.KindHeartbeat, reply)
 }
 
 // vouch keeps the members alive that a relay vouches for and drops those that it
@@ -206,18 +226,16 @@
 func (r *Router) vouch(now time.Time, h *peer.Heartbeat) bool {
 	from := h.Member
 	if h.Same {
-		for _, vm := range r.vouched[from.VM] {
-			r.members.Vouch(now, vm)
+		changed := false
+		for _, m := range r.vouched[from.VM] {
+			changed = r.members.Vouch(now, m) || changed
 		}
+		return changed
 	}
 	if len(h.Members) == 0 {
 		return false
 	}
-	names := make([]string, len(h.Members))
-	for i, m := range h.Members {
-		names[i] = m.VM
-	}
-	r.vouched[from.VM] = names
+	r.vouched[from.VM] = h.Members
 	return r.members.Only(now, append(h.Members, from), func(zone string) bool {
 		if from.Zone == r.settings.Zone {
 			return zone != from.Zone
@@ -231,14 +249,31 @@
 	r.mu.Lock()
 	changed := r.members.Heard(time.Now(), l.Peer())
 	delete(r.listed, l.Peer().VM)
+	hello := &peer.Heartbeat{Member: r.members.Self(), Known: r.introduce(l.Peer())}
 	r.mu.Unlock()
 	r.logger.Info().Str("peer", l.Peer().VM).Msg("link-up")
+	l.Send(peer.KindHeartbeat, hello)
 	if changed {
 		r.reconcile(r.store.View(), false)
 	}
 	r.pullIfBehind(l, l.Peer().Revision)
 }
 
+// introduce returns the routers to tell a new neighbour of: all of a shared zone,
+// else the relay of each zone; r.mu is held.
+func (r *Router) introduce(to fleet.Member) []fleet.Member {
+	if to.Zone == r.settings.Zone {
+		return r.members.Live(to.Zone)
+	}
+	var list []fleet.Member
+	for _, zone := range r.members.Zones() {
+		if m, ok := r.members.Relay(zone); ok {
+			list = append(list, m)
+		}
+	}
+	return list
+}
+
 // Down takes in that a link ended. Without a goodbye the router may live on, so
 // only its silence decides.
 func (r *Router) Down(l *peer.Link, goodbye bool) {
--- a/router/router.go
+++ b/router/router.go
@@ -15,6 +15,7 @@
 
 	"github.com/gofiber/fiber/v2"
 	"github.com/gofiber/fiber/v2/middleware/adaptor"
+	"github.com/prometheus/client_golang/prometheus"
 	"github.com/rs/zerolog"
 	"github.com/samber/oops"
 	"github.com/uber-go/tally/v4"
@@ -61,7 +62,8 @@
 	leaders    map[config.ShardID]*leading
 	interest   map[config.ShardID]map[string]time.Time // routers that sent requests lately
 	listed     map[string]uint64                       // by VM: the list of members it was last sent
-	vouched    map[string][]string                     // by relay: the members it last listed
+	vouched    map[string][]fleet.Member               // by relay: the members it last listed
+	lost       map[string]lostRouter                   // silent routers, by VM
 	began      time.Time
 	ticked     time.Time
 	ready      bool
@@ -82,7 +84,8 @@
 		leaders:    map[config.ShardID]*leading{},
 		interest:   map[config.ShardID]map[string]time.Time{},
 		listed:     map[string]uint64{},
-		vouched:    map[string][]string{},
+		vouched:    map[string][]fleet.Member{},
+		lost:       map[string]lostRouter{},
 	}
 	incarnation := uint64(now.UnixNano())
 	r.accounts = fleet.NewAccounts(now, s.VM, incarnation)
@@ -99,7 +102,9 @@
 const metricsInterval = 1 * time.Second
 
 func (r *Router) startMetrics() fiber.Handler {
+	registry := prometheus.NewRegistry() // of this router alone
 	reporter := promreporter.NewReporter(promreporter.Options{
+		Registerer: registry, Gatherer: registry,
 		OnRegisterError: func(err error) { r.logger.Warn().Err(err).Msg("metric-not-registered") },
 	})
 	r.metrics, r.closer = tally.NewRootScope(tally.ScopeOptions{
--- a/standin/enginehttp.go
+++ b/standin/enginehttp.go
@@ -63,6 +63,7 @@
 	path := string(c.Path())
 	switch {
 	case path == "/v1/chat/completions":
+		e.step(StepSend)
 		e.complete(c, id)
 	case path == "/load":
 		e.writeLoad(c)
@@ -88,6 +89,7 @@
 	}
 	prompt := r.Messages[len(r.Messages)-1].Content
 	g := e.admit(id, prompt, Length(prompt, r.MaxTokens))
+	e.step(StepFirst)
 	e.mu.Lock()
 	if e.cross != "" {
 		c.Response.Header.Set(attemptHeader, e.cross)
@@ -149,6 +151,9 @@
 			if !more {
 				break
 			}
+			if i == from+1 {
+				e.step(StepStream)
+			}
 			writeEvent(w, completion{ID: id, Object: "chat.completion.chunk", Choices: []choice{{Delta: &delta{token}}}})
 			if w.Flush() != nil {
 				return
@@ -160,6 +165,7 @@
 				Usage: &usage{len(g.prompt) / 4, g.total},
 			})
 		}
+		e.step(StepEnd)
 		w.WriteString("data: [DONE]\n\n")
 		w.Flush()
 	})
@@ -173,6 +179,7 @@
 }
 
 func (e *Engine) writeLoad(c *fasthttp.RequestCtx) {
+	e.step(StepReport)
 	e.mu.Lock()
 	l := engineLoad{Boot: fmt.Sprint(e.boot), Leaving: e.leaving}
 	if len(e.reports) > 0 {
