Drop late events of a copy that was given up

A request whose link was lost had gone to another leader when the first one's admission arrived late; it counted as admitted while it waited, so neither its time limit nor a stop ended it. Each event now names its copy, and what is not the present copy's is dropped and counted (stale_events).

--- a/caller/flow.go
+++ b/caller/flow.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"bulrushtally/config"
@@ -61,9 +62,9 @@
 // submit sends the prepared copy, which nobody else does or changes.
 func (f *flow) submit(r *request.Request, attempt int) {
 	e := f.entry
-	recall, err := e.leaders.Submit(f.ctx, r, func(ev request.Event) error { return f.event(r.Shard, ev) })
+	recall, err := e.leaders.Submit(f.ctx, r, func(ev request.Event) error { return f.event(attempt, r.Shard, ev) })
 	if err != nil {
-		f.event(r.Shard, request.Fail(request.CodeMoved, "%v", err).End(request.NotRun))
+		f.event(attempt, r.Shard, request.Fail(request.CodeMoved, "%v", err).End(request.NotRun))
 		return
 	}
 	e.mu.Lock()
@@ -113,17 +114,21 @@
 	}
 }
 
-// event takes in what the leader of a shard says.
-func (f *flow) event(id config.ShardID, e request.Event) error {
+// errStale ends what a leader still sends of a copy that was given up.
+var errStale = errors.New("the request has gone to another leader since")
+
+// event takes in what the leader of a shard says of one copy of the request. What
+// comes late, after the copy was given up, is dropped.
+func (f *flow) event(attempt int, id config.ShardID, e request.Event) error {
+	if !f.current(attempt, e.Kind) {
+		f.entry.metrics.Counter("stale_events").Inc(1)
+		return errStale
+	}
 	switch e.Kind {
 	case request.EventAdmitted:
-		f.onAdmitted()
-	case request.EventHead:
-		f.entry.mu.Lock()
-		f.headSent = true
-		f.entry.mu.Unlock()
+		f.onAdmitted(attempt)
 	case request.EventEnd:
-		f.onEnd(id, e)
+		f.onEnd(attempt, id, e)
 	}
 	if e.Hint != nil {
 		f.entry.Hint(id, *e.Hint)
@@ -136,10 +141,30 @@
 	return f.sink(e)
 }
 
-func (f *flow) onAdmitted() {
+// current reports whether a copy is the one that counts, and notes that the
+// caller gets the head of its answer.
+func (f *flow) current(attempt int, k request.EventKind) bool {
+	f.entry.mu.Lock()
+	defer f.entry.mu.Unlock()
+	if !f.isCurrent(attempt) {
+		return false
+	}
+	f.headSent = f.headSent || k == request.EventHead
+	return true
+}
+
+// isCurrent is current with entry.mu held.
+func (f *flow) isCurrent(attempt int) bool {
+	return !f.ended && f.attempt == attempt && f.held.Shard() != ""
+}
+
+func (f *flow) onAdmitted(attempt int) {
 	e := f.entry
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	if !f.isCurrent(attempt) {
+		return
+	}
 	f.admitted = true
 	if d := e.dispatchers[f.request.Service]; d != nil {
 		d.Admitted(f.held)
@@ -151,9 +176,13 @@
 // want of a leader.
 const returnPause = 100 * time.Millisecond
 
-func (f *flow) onEnd(id config.ShardID, ev request.Event) {
+func (f *flow) onEnd(attempt int, id config.ShardID, ev request.Event) {
 	e := f.entry
 	e.mu.Lock()
+	if !f.isCurrent(attempt) {
+		e.mu.Unlock()
+		return
+	}
 	if f.sendAgain(&ev) {
 		f.returns++
 		f.admitted = false
