--- a/router/gossip.go
+++ b/router/gossip.go
@@ -36,6 +36,7 @@
 func (r *Router) beat(now time.Time) {
 	r.noticePause(now)
 	r.settleCharges(now)
+	r.measure(now)
 	r.mu.Lock()
 	for _, m := range r.members.Expire(now) {
 		r.lost[m.VM] = lostRouter{m, now}
@@ -57,6 +58,22 @@
 	}
 }
 
+// measure updates the gauges of what this router holds.
+func (r *Router) measure(now time.Time) {
+	var waiting, window, free int
+	for _, l := range r.led() {
+		h := l.Hint(now)
+		waiting += h.Waiting
+		window += h.Window
+		free += h.Free
+	}
+	r.metrics.Gauge("requests_waiting").Update(float64(waiting))
+	r.metrics.Gauge("slots").Update(float64(window))
+	r.metrics.Gauge("slots_free").Update(float64(free))
+	r.metrics.Gauge("requests_in_flight").Update(float64(r.entry.InFlight()))
+	r.metrics.Gauge("control_bytes_sent").Update(float64(r.peers.Traffic().ControlOut.Load()))
+}
+
 // noticePause returns windows to cold after this process was paused: other
 // routers have led its shards meanwhile.
 func (r *Router) noticePause(now time.Time) {
--- a/standin/engine.go
+++ b/standin/engine.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"math"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -44,6 +45,8 @@
 	server
 	options EngineOptions
 
+	unnumbered atomic.Int64
+
 	mu       sync.Mutex
 	boot     int
 	booted   time.Time
--- a/standin/enginehttp.go
+++ b/standin/enginehttp.go
@@ -59,6 +59,9 @@
 		return
 	}
 	id := string(c.Request.Header.Peek(attemptHeader))
+	if id == "" {
+		id = fmt.Sprintf("unnumbered-%d", e.unnumbered.Add(1)) // as callers send without a router
+	}
 	c.Response.Header.Set(attemptHeader, id)
 	path := string(c.Path())
 	switch {
