Backend servers that leave by the platform's list; claims are trimmed

The list of VMs was read for bootstrap only: a backend server leaving by it went on getting work. Routers now read it every 2 s and their leaders pass over those that leave.

--- a/backend/leader.go
+++ b/backend/leader.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"maps"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -64,6 +65,8 @@
 	mu          sync.Mutex
 	scheduler   *schedule.Scheduler
 	retries     *schedule.RetryBudget
+	view        *config.View
+	leaving     map[string]bool // by the platform's list
 	addresses   map[string]string
 	boots       map[string]string // by backend server
 	jobs        map[*schedule.Ticket]*job
@@ -111,19 +114,36 @@
 
 // Configure takes in the shard's backend servers and rights from a configuration.
 func (l *Leader) Configure(now time.Time, v *config.View) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.view = v
+	l.configure(now)
+}
+
+// SetLeaving takes in the names of the VMs that leave by the platform's list.
+func (l *Leader) SetLeaving(now time.Time, names map[string]bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if !maps.Equal(l.leaving, names) {
+		l.leaving = names
+		l.configure(now)
+	}
+}
+
+// configure brings the scheduler in line with the view and the list; l.mu is held.
+func (l *Leader) configure(now time.Time) {
+	v := l.view
 	sh := v.Shard(l.id)
 	if sh == nil {
 		sh = &config.Shard{ID: l.id}
 	}
-	l.mu.Lock()
-	defer l.mu.Unlock()
 	if svc := v.Get(config.KindService, l.id.Service); svc != nil {
 		l.model = svc.ModelService()
 	}
 	l.addresses = map[string]string{}
 	list := make([]schedule.Backend, 0, len(sh.Backends))
 	for _, b := range sh.Backends {
-		list = append(list, schedule.Backend{Name: b.Name, Slots: b.Slots(), Leaving: b.Leaving() || !sh.InService})
+		list = append(list, schedule.Backend{Name: b.Name, Slots: b.Slots(), Leaving: b.Leaving() || l.leaving[b.Name] || !sh.InService})
 		l.addresses[b.Name] = b.Address
 	}
 	l.scheduler.Configure(now, list, func(customer string) schedule.Access {
--- a/router/bootstrap.go
+++ b/router/bootstrap.go
@@ -7,12 +7,13 @@
 	"time"
 
 	"bulrushtally/fleet"
+	"bulrushtally/platform"
 )
 
 // Timing of bootstrap.
 const (
 	bootstrapInterval = 2 * time.Second
-	listInterval      = 10 * time.Second
+	listInterval      = 2 * time.Second
 	settleTime        = 1500 * time.Millisecond // in which a newcomer hears of the others
 )
 
@@ -33,18 +34,12 @@
 func (r *Router) bootstrap(ctx context.Context) error {
 	t := time.NewTicker(bootstrapInterval)
 	defer t.Stop()
-	var listed time.Time
 	known := map[string]string{} // VM by address
 	for {
 		for _, a := range r.settings.PeerAddresses {
 			r.dialUnknown(a, known)
 		}
-		candidates := r.lostRouters()
-		if time.Since(listed) > listInterval {
-			listed = time.Now()
-			candidates = append(candidates, r.listedRouters()...)
-		}
-		for _, m := range r.worthDialing(candidates) {
+		for _, m := range r.worthDialing(append(r.lostRouters(), r.listedRouters()...)) {
 			r.dialUnknown(m.Address, known)
 		}
 		select {
@@ -113,15 +108,47 @@
 	known[address] = l.Peer().VM
 }
 
-// listedRouters returns the routers on the platform's list.
-func (r *Router) listedRouters() []fleet.Member {
-	list, err := r.platform.VMs()
-	if err != nil {
-		return nil
+// readList reads the platform's list of VMs until the context ends. Backend
+// servers that leave by it get nothing new; its routers are a hint for bootstrap.
+func (r *Router) readList(ctx context.Context) error {
+	t := time.NewTicker(listInterval)
+	defer t.Stop()
+	for {
+		if list, err := r.platform.VMs(); err == nil {
+			r.takeList(list)
+		}
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-t.C:
+		}
+	}
+}
+
+func (r *Router) takeList(list []platform.VM) {
+	leaving := map[string]bool{}
+	for _, vm := range list {
+		if vm.Role == platform.RoleBackend && vm.Leaving {
+			leaving[vm.Name] = true
+		}
+	}
+	r.mu.Lock()
+	r.vms, r.departing = list, leaving
+	r.mu.Unlock()
+	now := time.Now()
+	for _, l := range r.led() {
+		l.SetLeaving(now, leaving)
 	}
+}
+
+// listedRouters returns the routers on the platform's list as last read.
+func (r *Router) listedRouters() []fleet.Member {
+	r.mu.Lock()
+	list := r.vms
+	r.mu.Unlock()
 	var out []fleet.Member
 	for _, vm := range list {
-		if vm.Role == "router" && !vm.Leaving && vm.Name != r.settings.VM {
+		if vm.Role == platform.RoleRouter && !vm.Leaving && vm.Name != r.settings.VM {
 			out = append(out, fleet.Member{VM: vm.Name, Zone: vm.Zone, Address: vm.Address})
 		}
 	}
@@ -142,6 +169,7 @@
 		}
 		r.becomeReady()
 		r.storeSnapshot()
+		r.trimClaims()
 		select {
 		case <-ctx.Done():
 			return nil
@@ -214,3 +242,25 @@
 	r.mu.Unlock()
 	r.logger.Info().Uint64("revision", v.Revision()).Msg("snapshot-stored")
 }
+
+// trimBatch is how many claims one relay looks at in one round.
+const trimBatch = 50
+
+// trimClaims has one relay delete idempotency keys that are older than the
+// settings keep them, some at a time.
+func (r *Router) trimClaims() {
+	r.mu.Lock()
+	due := r.members.Relaying() && r.members.Zones()[0] == r.settings.Zone
+	after := r.trimmed
+	r.mu.Unlock()
+	if !due {
+		return
+	}
+	next, err := r.claims.Trim(time.Now().Add(-r.settings.KeepKeys), after, trimBatch)
+	if err != nil {
+		return
+	}
+	r.mu.Lock()
+	r.trimmed = next
+	r.mu.Unlock()
+}
--- a/router/leading.go
+++ b/router/leading.go
@@ -77,6 +77,7 @@
 		Options: schedule.Options{FirstEstimate: r.settings.FirstEstimate, MaxDebt: r.settings.MaxDebt},
 	})
 	l.Configure(now, v)
+	l.SetLeaving(now, r.departing)
 	r.leaders[id] = &leading{Leader: l, part: r.serving.Go("leader "+id.String(), l.Run)}
 	r.logger.Info().Str("shard", id.String()).Msg("leadership-began")
 }
--- a/router/router.go
+++ b/router/router.go
@@ -43,6 +43,7 @@
 	store    *config.Store
 	platform *platform.Client
 	log      *platform.Log
+	claims   *platform.Claims
 	client   *backend.Client
 	peers    *peer.Peers
 	entry    *caller.Entry
@@ -68,9 +69,12 @@
 	ticked     time.Time
 	ready      bool
 	leaving    bool
-	asked      bool      // peers and platform were asked for the configuration
-	pulled     time.Time // last time a peer was asked
-	snapshot   uint64    // revision of the last snapshot stored
+	asked      bool            // peers and platform were asked for the configuration
+	pulled     time.Time       // last time a peer was asked
+	vms        []platform.VM   // the platform's list, as last read
+	departing  map[string]bool // backend servers that leave by it
+	trimmed    string          // claim up to which the table was trimmed
+	snapshot   uint64          // revision of the last snapshot stored
 }
 
 // New returns a router that listens but does not serve yet.
@@ -123,6 +127,7 @@
 		ReadsPerSecond: s.ReadsPerSecond, WritesPerSecond: s.WritesPerSecond,
 	})
 	r.log = platform.NewLog(r.platform, r.platform)
+	r.claims = platform.NewClaims(r.platform)
 	r.client = backend.NewClient(backend.Timeouts{Connect: s.ConnectTimeout, First: s.FirstTimeout, Progress: s.ProgressTimeout})
 	serverTLS, clientTLS, err := peerTLS(s)
 	if err != nil {
@@ -156,7 +161,7 @@
 	r.server, err = caller.NewServer(caller.ServerOptions{
 		Listen: s.Listen, MaxBody: s.MaxBody, MaxHeaders: s.MaxHeaders, Timeout: s.ReadTimeout, TLS: callerTLS,
 		VM: s.VM, Zone: s.Zone, Ready: r.Ready, Metrics: metrics, Extra: api.Routes, Logger: r.logger,
-	}, r.entry, r.store, platform.NewClaims(r.platform))
+	}, r.entry, r.store, r.claims)
 	return err
 }
 
@@ -230,6 +235,7 @@
 	r.links.Go("gossip", r.gossip)
 	r.links.Go("bootstrap", r.bootstrap)
 	r.links.Go("configuration", r.follow)
+	r.links.Go("list", r.readList)
 	listening.Go("callers", r.server.Run)
 	r.serving.Go("entry", r.entry.Run)
 }
--- a/settings/keys.go
+++ b/settings/keys.go
@@ -60,6 +60,7 @@
 	{"platform", "reads-per-second", "50", "budget of this router", false, float(func(s *Settings) *float64 { return &s.ReadsPerSecond }, 0.1, 2000)},
 	{"platform", "writes-per-second", "20", "budget of this router", false, float(func(s *Settings) *float64 { return &s.WritesPerSecond }, 0.1, 500)},
 	{"platform", "poll-interval", "1s", "time between two looks of a relay at the log's head", false, duration(func(s *Settings) *time.Duration { return &s.PollInterval }, 100*time.Millisecond, time.Minute)},
+	{"platform", "keep-keys", "24h", "how long an idempotency key and its answer are kept", false, duration(func(s *Settings) *time.Duration { return &s.KeepKeys }, time.Minute, 30*24*time.Hour)},
 	{"queue", "requests", "1000", "most requests of a customer that wait at this router for one service", false, number(func(s *Settings) *int { return &s.QueueRequests }, 1, 1_000_000)},
 	{"queue", "bytes", "16777216", "most bytes of these requests", false, number(func(s *Settings) *int { return &s.QueueBytes }, 1024, 1<<30)},
 	{"queue", "wait", "30s", "longest time that a request waits", false, duration(func(s *Settings) *time.Duration { return &s.QueueWait }, 100*time.Millisecond, time.Hour)},
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -41,6 +41,7 @@
 	ReadsPerSecond  float64
 	WritesPerSecond float64
 	PollInterval    time.Duration
+	KeepKeys        time.Duration
 
 	QueueRequests int
 	QueueBytes    int
--- /dev/null
+++ b/settings/settings_test.go
@@ -0,0 +1,86 @@
+package settings_test
+
+import (
+	"errors"
+	"os"
+	"strings"
+	"testing"
+
+	"bulrushtally/settings"
+)
+
+func env(name string) (string, bool) {
+	if name == "PEER_SECRET" {
+		return "a secret from the environment", true
+	}
+	return "", false
+}
+
+func TestExamplesAreValid(t *testing.T) {
+	for _, name := range []string{"kingston", "ringing-returns"} {
+		s, err := settings.Read("../examples/" + name + ".ini")
+		if err != nil {
+			t.Errorf("%s: %v", name, err)
+			continue
+		}
+		if s.Zone == "" || s.Region == "" || s.QueueRequests == 0 {
+			t.Errorf("%s: incomplete: %+v", name, s)
+		}
+	}
+}
+
+// TestEveryFaultIsReported changes the valid example in many ways at once.
+func TestEveryFaultIsReported(t *testing.T) {
+	data, err := os.ReadFile("../examples/kingston.ini")
+	if err != nil {
+		t.Fatal(err)
+	}
+	text := string(data)
+	for _, c := range [][2]string{
+		{"name = kgn-a-0", "name = Kingston A"}, {"level = info", "level = loud"}, {"listen = 127.0.0.1:8080", "listen = localhost:8080"},
+		{"secret = replace-this-secret", "secret = short"}, {"addresses = 127.0.0.1:7081", "addresses = somewhere"},
+		{"first-key-hash =", "first-key-hash = xyz"},
+	} {
+		if !strings.Contains(text, c[0]) {
+			t.Fatalf("example has no %q", c[0])
+		}
+		text = strings.Replace(text, c[0], c[1], 1)
+	}
+	text += "\n[queue]\nrequests = many\nwait = 1\nspeed = 9\n\n[nonsense]\nx = 1\n\n[callers]\ntls-cert = /no/such/file\n"
+	_, err = settings.Parse([]byte(text), env)
+	var faults settings.Faults
+	if !errors.As(err, &faults) {
+		t.Fatalf("error %v, want Faults", err)
+	}
+	for _, want := range []string{
+		`section [vm], key "name"`, `section [log], key "level"`, `section [callers], key "listen"`, `section [peers], key "secret"`,
+		`section [peers], key "addresses"`, `section [operators], key "first-key-hash"`, `section [queue], key "requests": value "many"`,
+		`section [queue], key "wait"`, `section [queue], key "speed"`, `section [nonsense]`, `section [callers], key "tls-cert"`,
+	} {
+		if !strings.Contains(err.Error(), want) {
+			t.Errorf("no fault with %s in:\n%v", want, err)
+		}
+	}
+	if strings.Contains(err.Error(), "short") {
+		t.Error("a secret is shown")
+	}
+}
+
+func TestSecretsFromElsewhere(t *testing.T) {
+	data, err := os.ReadFile("../examples/kingston.ini")
+	if err != nil {
+		t.Fatal(err)
+	}
+	text := strings.Replace(string(data), "secret = replace-this-secret", "secret = env:PEER_SECRET", 1)
+	s, err := settings.Parse([]byte(text), env)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if got, want := s.PeerSecret, "a secret from the environment"; got != want {
+		t.Errorf("secret %q, want %q", got, want)
+	}
+	text = strings.Replace(text, "env:PEER_SECRET", "env:NOT_SET", 1)
+	if _, err := settings.Parse([]byte(text), env); err == nil || !strings.Contains(err.Error(), "set the environment variable NOT_SET") {
+		t.Errorf("missing variable: %v", err)
+	}
+}
