--- a/backend/job.go
+++ b/backend/job.go
@@ -4,10 +4,8 @@
 // when one may follow another, and the outcome that the caller is told.
 
 import (
-	"bufio"
 	"bytes"
 	"context"
-	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
@@ -20,27 +18,13 @@
 
 // Bounds of a job.
 const (
-	maxAttempts   = 3
-	maxResumes    = 3
-	retryPause    = 50 * time.Millisecond // doubles with each attempt
-	suspectPause  = 2 * time.Second       // before a request is tried again that may have killed a server
-	maxEventBytes = 1 << 20
-	copyBuffer    = 32 << 10
+	maxAttempts  = 3
+	maxResumes   = 3
+	retryPause   = 50 * time.Millisecond // doubles with each attempt
+	suspectPause = 2 * time.Second       // before a request is tried again that may have killed a server
+	copyBuffer   = 32 << 10
 )
 
-// cost is what a request has consumed.
-type cost struct {
-	input, output float64 // tokens
-	millis        float64 // of a plain service's time
-}
-
-func (c cost) total(model bool) float64 {
-	if model {
-		return c.input*inputWeight + c.output*outputWeight
-	}
-	return c.millis
-}
-
 // job is one request at a Leader; after Submit only its running goroutine uses it.
 type job struct {
 	leader  *Leader
@@ -323,8 +307,6 @@
 	return nil
 }
 
-var streamEnd = []byte("data: [DONE]\n\n")
-
 // passStream passes on server-sent events, and resumes the stream at the next
 // event over a new connection when the first one breaks or goes silent.
 func (j *job) passStream(a Attempt, r *Response) (*request.Failure, schedule.Ending) {
@@ -397,63 +379,3 @@
 		}
 	}
 }
-
-// readEvent returns the next server-sent event with the blank line that ends it.
-func readEvent(r *bufio.Reader) ([]byte, error) {
-	var event []byte
-	for {
-		line, err := r.ReadSlice('\n')
-		event = append(event, line...)
-		if err == bufio.ErrBufferFull && len(event) < maxEventBytes {
-			continue
-		}
-		if err != nil {
-			return nil, err
-		}
-		blank := len(bytes.TrimRight(line, "\r\n")) == 0
-		if blank && len(event) > len(line) {
-			return event, nil
-		}
-		if blank {
-			event = event[:0]
-		}
-	}
-}
-
-var usageField = []byte(`"usage":{`)
-
-// countEvent adds an event's tokens to the cost; the engine's own count replaces the sum.
-func (j *job) countEvent(event []byte) {
-	if bytes.Contains(event, usageField) {
-		j.countUsage(bytes.TrimPrefix(bytes.TrimSpace(event), []byte("data: ")))
-		return
-	}
-	if !bytes.Equal(event, streamEnd) {
-		j.cost.output++
-	}
-}
-
-// countUsage takes the cost from the engine's usage, if the answer carries it.
-func (j *job) countUsage(body []byte) {
-	if !j.leader.model {
-		return
-	}
-	var answer struct {
-		Usage struct {
-			Prompt     float64 `json:"prompt_tokens"`
-			Completion float64 `json:"completion_tokens"`
-		} `json:"usage"`
-	}
-	if json.Unmarshal(body, &answer) == nil && answer.Usage.Completion > 0 {
-		j.cost.input, j.cost.output = answer.Usage.Prompt, answer.Usage.Completion
-	}
-}
-
-// tailBuffer keeps an answer up to a bound, so that its usage can be read.
-type tailBuffer struct{ data []byte }
-
-func (t *tailBuffer) write(p []byte) {
-	if len(t.data)+len(p) <= maxEventBytes {
-		t.data = append(t.data, p...)
-	}
-}
--- a/lab/measure.go
+++ b/lab/measure.go
@@ -73,3 +73,11 @@
 	<-ended
 	return err
 }
+
+// warmUp loads a system until its windows are full.
+func warmUp(s *System, seed uint64) error {
+	o := s.Options
+	callers := 4 * o.Engines * o.Engine.Slots
+	groups := []Group{{Customer: 0, Callers: callers, Routers: allRouters(len(s.Addresses())), MaxTokens: 48, Prompt: promptBytes}}
+	return under(NewLoad(s, o.Customers, seed), groups, func(context.Context) error { time.Sleep(rampTime); return nil })
+}
