A backend server that is silent before its answer's head is told as such

fasthttp reports a deadline in a head by an error that is no net.Error, so callers read backend-broken for backend-silent. TestFaults has a server fail in each of ten ways; this one failed before.

--- a/backend/client.go
+++ b/backend/client.go
@@ -65,6 +65,9 @@
 // Unwrap returns the cause.
 func (e *AttemptError) Unwrap() error { return e.Err }
 
+// BodyError returns the *AttemptError that an error in reading an answer's body stands for.
+func BodyError(address string, err error) error { return &AttemptError{faultOf(err), address, err} }
+
 // Client makes attempts; it may be used from many goroutines.
 //
 // Each attempt has a fresh connection. A pooled one may have gone silent, or be
@@ -207,7 +210,7 @@
 func faultOf(err error) Fault {
 	var ne net.Error
 	switch {
-	case errors.As(err, &ne) && ne.Timeout():
+	case errors.Is(err, fasthttp.ErrTimeout), errors.As(err, &ne) && ne.Timeout():
 		return FaultSilent
 	case errors.Is(err, io.EOF), errors.Is(err, io.ErrUnexpectedEOF), errors.As(err, &ne), errors.Is(err, net.ErrClosed):
 		return FaultBroken
@@ -246,7 +249,7 @@
 	defer r.Close()
 	body, err := io.ReadAll(io.LimitReader(r.Body, maxReport))
 	if err != nil {
-		return Load{}, &AttemptError{faultOf(err), address, err}
+		return Load{}, BodyError(address, err)
 	}
 	var l Load
 	if err := json.Unmarshal(body, &l); err != nil || r.Status != 200 {
--- a/backend/job.go
+++ b/backend/job.go
@@ -280,7 +280,7 @@
 			break
 		}
 		if err != nil {
-			return j.attemptFailed(a, &AttemptError{faultOf(err), a.Address, err})
+			return j.attemptFailed(a, BodyError(a.Address, err))
 		}
 	}
 	j.countUsage(tail.data)
@@ -321,7 +321,7 @@
 			go l.client.Cancel(a.Address, a.Number, l.attemptNumber())
 			return f, schedule.EndedCanceled
 		}
-		failure, ending := j.attemptFailed(a, &AttemptError{faultOf(err), a.Address, err})
+		failure, ending := j.attemptFailed(a, BodyError(a.Address, err))
 		if ending == schedule.EndedCanceled || resumes >= maxResumes {
 			return failure, ending
 		}
