--- a/cmd/bulrushlab/main.go
+++ b/cmd/bulrushlab/main.go
@@ -16,7 +16,7 @@
 	app := &cli.Command{
 		Name:  "bulrushlab",
 		Usage: "run stand-ins, load and experiments for bulrushtally",
-		Commands: []*cli.Command{
+		Commands: append(standinCommands(seed), []*cli.Command{
 			{
 				Name:  "demo",
 				Usage: "run a whole fleet for some seconds and print what came of it",
@@ -26,7 +26,7 @@
 				},
 			},
 			measureCommand(seed),
-		},
+		}...),
 	}
 	if err := app.Run(context.Background(), os.Args); err != nil {
 		fmt.Fprintln(os.Stderr, "bulrushlab:", err)
--- a/cmd/bulrushtally/operator.go
+++ b/cmd/bulrushtally/operator.go
@@ -7,6 +7,7 @@
 	"encoding/json"
 	"fmt"
 	"os"
+	"strconv"
 	"strings"
 	"time"
 
@@ -28,6 +29,7 @@
 		{Name: "delete", Usage: "delete an object: delete KIND NAME", ArgsUsage: "KIND NAME", Action: remove, Flags: changeFlags()},
 		{Name: "audit", Usage: "list changes: who, where, when, what", Action: audit,
 			Flags: append(connectFlags(), &cli.Uint64Flag{Name: "after", Usage: "revision to start after"})},
+		{Name: "suspects", Usage: "list requests that were running when backend servers died, or clear one: suspects [DIGEST]", ArgsUsage: "[DIGEST]", Action: suspects, Flags: connectFlags()},
 		{Name: "status", Usage: "show the routers and their revisions", Action: status, Flags: connectFlags()},
 	}
 }
@@ -217,6 +219,24 @@
 	return printChanges(list)
 }
 
+func suspects(_ context.Context, c *cli.Command) error {
+	if c.Args().Len() > 0 {
+		digest, err := strconv.ParseUint(c.Args().First(), 10, 64)
+		if err != nil {
+			return fmt.Errorf("%q is no digest; suspects without one lists them", c.Args().First())
+		}
+		return client(c).ClearSuspect(digest)
+	}
+	list, err := client(c).Suspects()
+	if err != nil {
+		return err
+	}
+	if c.String("o") == "json" {
+		return printJSON(list)
+	}
+	return printSuspects(list)
+}
+
 func status(_ context.Context, c *cli.Command) error {
 	s, err := client(c).Status()
 	if err != nil {
--- a/cmd/bulrushtally/print.go
+++ b/cmd/bulrushtally/print.go
@@ -14,6 +14,7 @@
 
 	"bulrushtally/config"
 	"bulrushtally/operator"
+	"bulrushtally/schedule"
 )
 
 func printJSON(v any) error {
@@ -82,6 +83,15 @@
 	return strings.Join(parts, "; ")
 }
 
+func printSuspects(list []schedule.Crime) error {
+	t := table()
+	fmt.Fprintln(t, "DIGEST\tDEATHS")
+	for _, x := range list {
+		fmt.Fprintf(t, "%d\t%d\n", x.Digest, x.Deaths)
+	}
+	return t.Flush()
+}
+
 func printStatus(s *operator.Status) error {
 	t := table()
 	fmt.Fprintf(t, "as seen by %s at revision %d\n", s.VM, s.Revision)
--- a/cmd/bulrushtally/process_test.go
+++ b/cmd/bulrushtally/process_test.go
@@ -275,6 +275,8 @@
 		{[]string{"audit"}, 0, "kingston"},
 		{[]string{"audit", "-o", "json"}, 0, `"office": "kingston"`},
 		{[]string{"status"}, 0, "kgn-a-1"},
+		{[]string{"suspects"}, 0, "DEATHS"},
+		{[]string{"suspects", "12345"}, 1, "not-found"},
 		{[]string{"get", "nothing"}, 1, "unknown-kind"},
 	}
 	for _, tt := range tests {
--- a/lab/call.go
+++ b/lab/call.go
@@ -21,7 +21,11 @@
 )
 
 // Client makes calls as a caller does.
-type Client struct{ http *http.Client }
+type Client struct {
+	http  *http.Client
+	key   string // instead of the customer's, if not empty
+	model string
+}
 
 // NewClient returns a Client that keeps its connections.
 func NewClient() *Client {
@@ -29,7 +33,7 @@
 		MaxIdleConnsPerHost: 4096, MaxIdleConns: 8192, IdleConnTimeout: 30 * time.Second,
 		DialContext: (&net.Dialer{Timeout: 5 * time.Second}).DialContext,
 	}
-	return &Client{http: &http.Client{Transport: t}}
+	return &Client{http: &http.Client{Transport: t}, model: ModelService}
 }
 
 // Result is what came of a call.
@@ -76,7 +80,7 @@
 }
 
 func (c *Client) complete(ctx context.Context, address, customer, prompt string, maxTokens int, stream bool, meter func(cost int)) Result {
-	body, err := json.Marshal(chatBody{ModelService, []chatMessage{{"user", prompt}}, maxTokens, stream})
+	body, err := json.Marshal(chatBody{c.model, []chatMessage{{"user", prompt}}, maxTokens, stream})
 	if err != nil {
 		return Result{Customer: customer, Err: err}
 	}
@@ -140,7 +144,11 @@
 	if err != nil {
 		return nil, err
 	}
-	req.Header.Set("Authorization", "Bearer "+CallerKey(customer))
+	key := c.key
+	if key == "" {
+		key = CallerKey(customer)
+	}
+	req.Header.Set("Authorization", "Bearer "+key)
 	req.Header.Set("Content-Type", "application/json")
 	for k, v := range headers {
 		req.Header.Set(k, v)
--- a/operator/client.go
+++ b/operator/client.go
@@ -13,6 +13,7 @@
 	"github.com/valyala/fasthttp"
 
 	"bulrushtally/config"
+	"bulrushtally/schedule"
 )
 
 // clientTimeout bounds one call of a Client.
@@ -167,6 +168,18 @@
 	return s, err
 }
 
+// Suspects returns the requests that were running when backend servers died.
+func (c *Client) Suspects() ([]schedule.Crime, error) {
+	var list []schedule.Crime
+	err := c.call("GET", "/suspects", nil, nil, &list)
+	return list, err
+}
+
+// ClearSuspect forgets a request's deaths.
+func (c *Client) ClearSuspect(digest uint64) error {
+	return c.call("DELETE", "/suspects/"+strconv.FormatUint(digest, 10), nil, nil, nil)
+}
+
 // Lagging returns the live routers that do not hold a revision yet.
 func (s *Status) Lagging(revision uint64) []string {
 	var list []string
