Opening a link holds up no other request; a relay that hears nobody says so

Submit dialled a lost leader in the goroutine that sends all requests, and a relay whose list of others became empty sent nothing, so its neighbours tried the lost zones 5 s longer.

--- a/peer/message.go
+++ b/peer/message.go
@@ -64,6 +64,7 @@
 type Heartbeat struct {
 	Member   *fleet.Member  `cbor:"1,keyasint,omitempty"` // left out when only the revision may have changed
 	Members  []fleet.Member `cbor:"2,keyasint,omitempty"` // from a relay: all other routers that it vouches for
+	None     bool           `cbor:"7,keyasint,omitempty"` // from a relay: it hears of no other router
 	Same     bool           `cbor:"3,keyasint,omitempty"` // from a relay: it vouches for those it listed last
 	Sums     []fleet.Sums   `cbor:"4,keyasint,omitempty"`
 	Revision uint64         `cbor:"6,keyasint,omitempty"`
--- a/router/gossip.go
+++ b/router/gossip.go
@@ -179,7 +179,7 @@
 		return h
 	}
 	r.listed[to.VM] = d
-	h.Members = list
+	h.Members, h.None = list, len(list) == 0
 	return h
 }
 
@@ -276,7 +276,7 @@
 		}
 		return changed
 	}
-	if len(h.Members) == 0 {
+	if len(h.Members) == 0 && !h.None {
 		return false
 	}
 	r.vouched[from.VM] = h.Members
--- a/router/leading.go
+++ b/router/leading.go
@@ -5,10 +5,12 @@
 import (
 	"context"
 	"errors"
+	"sync"
 	"time"
 
 	"bulrushtally/backend"
 	"bulrushtally/config"
+	"bulrushtally/fleet"
 	"bulrushtally/request"
 	"bulrushtally/schedule"
 	"bulrushtally/supervise"
@@ -123,11 +125,50 @@
 	if !ok || m.VM == r.settings.VM {
 		return nil, errNoLeader
 	}
+	if link := r.peers.Link(m.VM); link != nil {
+		return link.Request(ctx, q, sink)
+	}
+	f := &forward{request: q, sink: sink}
+	go f.run(ctx, r, m)
+	return f.recall, nil
+}
+
+// forward is a request that waits for a link to be opened, which must not hold
+// up the requests after it.
+type forward struct {
+	request *request.Request
+	sink    request.Sink
+
+	mu       sync.Mutex
+	recalled bool
+	over     func() // recalls it once it was sent
+}
+
+func (f *forward) run(ctx context.Context, r *Router, m fleet.Member) {
 	link, err := r.peers.Connect(m.VM, m.Address)
+	f.mu.Lock()
+	if f.recalled {
+		f.mu.Unlock()
+		f.sink(request.Fail(request.CodeRecalled, "taken back before it was sent").End(request.NotRun))
+		return
+	}
+	if err == nil {
+		f.over, err = link.Request(ctx, f.request, f.sink)
+	}
+	f.mu.Unlock()
 	if err != nil {
-		return nil, err
+		f.sink(request.Fail(request.CodeMoved, "%v", err).End(request.NotRun))
+	}
+}
+
+func (f *forward) recall() {
+	f.mu.Lock()
+	f.recalled = true
+	over := f.over
+	f.mu.Unlock()
+	if over != nil {
+		over()
 	}
-	return link.Request(ctx, q, sink)
 }
 
 // Reachable reports whether a shard has a live leader.
