--- a/lab/baseline.go
+++ b/lab/baseline.go
@@ -56,6 +56,8 @@
 	r.store.Restore(splitSlots(snap, share, p))
 	v := r.store.View()
 	client := backend.NewClient(backend.Timeouts{Connect: s.ConnectTimeout, First: s.FirstTimeout, Progress: s.ProgressTimeout})
+	limits := schedule.Limits{Requests: s.QueueRequests, Bytes: s.QueueBytes}
+	r.entry = caller.NewEntry(caller.EntryOptions{Zone: zone, Wait: s.QueueWait, Limits: limits}, r, zerolog.Nop(), tally.NoopScope)
 	for _, sh := range v.AllShards() {
 		l := backend.NewLeader(backend.LeaderConfig{
 			Shard: sh.ID, VM: "lone", Incarnation: uint64(time.Now().UnixNano()), Client: client, Tracker: r,
@@ -66,8 +68,6 @@
 		r.leaders[sh.ID] = l
 		r.tree.Go("leader", l.Run)
 	}
-	limits := schedule.Limits{Requests: s.QueueRequests, Bytes: s.QueueBytes}
-	r.entry = caller.NewEntry(caller.EntryOptions{Zone: zone, Wait: s.QueueWait, Limits: limits}, r, zerolog.Nop(), tally.NoopScope)
 	r.entry.Configure(v)
 	r.tree.Go("entry", r.entry.Run)
 	var err error
