Encode a message between routers in one step

Before, the body was encoded and then copied into the frame. The frames are the same bytes. The experiment path also measures an open stream's memory and calls of one token, so that the stand-in's slots are not what it measures.

--- a/lab/path.go
+++ b/lab/path.go
@@ -67,8 +67,12 @@
 	r.figure("calls per second, by 6 callers", "1/s", rate)
 	r.figure("processor time that routers add to a call of 16 tokens", "µs", (cpuR-cpuD)*1e6/pathCalls)
 	e.say("most calls per second through one router")
-	r.figure("calls per second through one router, 64 callers", "1/s", saturate(s))
-	r.figure("memory of a waiting request, its caller included", "bytes", heldMemory(s, 50))
+	rate, cpu := saturate(s)
+	r.figure("calls of one token per second through one router, 64 callers", "1/s", rate)
+	r.figure("processor of such a call, caller and stand-in included", "µs", cpu*1e6)
+	open, waiting := heldMemory(s, 100)
+	r.figure("memory of an open stream, its caller and stand-in included", "bytes", open)
+	r.figure("memory of a waiting request, its caller included", "bytes", waiting)
 	return r, nil
 }
 
@@ -103,25 +107,29 @@
 	return h, used, rate
 }
 
-// saturate returns the rate of plain calls through one router with many callers.
-func saturate(s *System) float64 {
+// saturate returns the rate of short completions through one router with many
+// callers, and the seconds of processor that each takes.
+func saturate(s *System) (rate, cpu float64) {
 	const callers, each = 64, 100
-	began := time.Now()
+	began, used := time.Now(), processorTime()
 	var g conc.WaitGroup
 	for k := range callers {
 		c := NewClient()
 		g.Go(func() {
 			for i := range each {
-				c.Call(context.Background(), s.Addresses()[0], Customer(k%8), fmt.Sprintf("call %d %d", k, i), "")
+				c.Complete(context.Background(), s.Addresses()[0], Customer(k%8), fmt.Sprintf("call %d %d", k, i), 1, false)
 			}
 		})
 	}
 	g.Wait()
-	return callers * each / time.Since(began).Seconds()
+	return callers * each / time.Since(began).Seconds(), (processorTime() - used).Seconds() / (callers * each)
 }
 
-// heldMemory slows the engines down until requests wait, and returns the memory of each.
-func heldMemory(s *System, slow float64) float64 {
+const openStreams = 60 // fewer than there are slots
+
+// heldMemory slows the engines down and returns the memory of a stream that is open,
+// and of a request that waits because all slots are taken.
+func heldMemory(s *System, slow float64) (open, waiting float64) {
 	for _, x := range s.Engines {
 		x.SetSlow(slow)
 	}
@@ -131,21 +139,23 @@
 		}
 	}()
 	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
 	var g conc.WaitGroup
-	start := func(n int) {
+	start := func(n int) float64 {
 		for i := range n {
 			c := NewClient()
 			g.Go(func() {
-				c.Complete(ctx, s.Addresses()[i%len(s.Addresses())], Customer(i%16), fmt.Sprintf("held %d", i), 64, true)
+				c.Complete(ctx, s.Addresses()[i%len(s.Addresses())], Customer(i%16), fmt.Sprintf("held %d of %d", i, n), 64, true)
 			})
 		}
 		time.Sleep(2 * time.Second)
+		return heap()
 	}
-	start(200) // more than there are slots
-	before := heap()
-	start(heldCalls)
-	after := heap()
+	idle := heap()
+	opened := start(openStreams)
+	full := start(200)
+	held := start(heldCalls)
 	cancel()
 	g.Wait()
-	return (after - before) / heldCalls
+	return (opened - idle) / openStreams, (held - full) / heldCalls
 }
--- a/peer/message.go
+++ b/peer/message.go
@@ -121,17 +121,17 @@
 	return m
 }()
 
+// outgoing is a frame whose body is encoded together with it.
+type outgoing struct {
+	_      struct{} `cbor:",toarray"`
+	Kind   Kind
+	Stream uint64
+	Body   any
+}
+
 // encode returns a message as it goes over a link.
 func encode(k Kind, stream uint64, body any) ([]byte, error) {
-	f := frame{Kind: k, Stream: stream, Body: cbor.RawMessage{0xf6}} // null
-	if body != nil {
-		data, err := cbor.Marshal(body)
-		if err != nil {
-			return nil, err
-		}
-		f.Body = data
-	}
-	return cbor.Marshal(f)
+	return cbor.Marshal(outgoing{Kind: k, Stream: stream, Body: body})
 }
 
 // decode returns a message's envelope, or an error if it is malformed.
