A cancelled request's slot is freed only when the engine has stopped

The leaders gave up all requests that came over the broken links, freed their slots at once and admitted others, while the engines still worked on those given up: they had more than they bear and fell over. Slots are now freed after the engine has answered the order to cancel, also when an attempt failed and goes elsewhere. Also: streams go from their events to the HTTP server without a pipe between.

--- a/backend/job.go
+++ b/backend/job.go
@@ -81,6 +81,15 @@
 	if f != nil && ending != schedule.EndedCanceled && ending != schedule.EndedRefused {
 		ending = j.examine(backend, address, boot, ending)
 	}
+	if ending == schedule.EndedCanceled {
+		j.end(f)
+		j.abandon(a)
+		j.finish(ending)
+		return
+	}
+	if f != nil && ending != schedule.EndedRefused && ending != schedule.EndedDead {
+		j.abandon(a)
+	}
 	j.finish(ending)
 	l.logger.Debug().Str("request", j.request.Number).Str("customer", j.request.Customer).
 		Str("backend", backend).Int("attempt", j.attempts).Bool("ok", f == nil).Msg("attempt-ended")
@@ -90,6 +99,19 @@
 	j.end(f)
 }
 
+// abandon orders the engine to stop working on an attempt that nobody waits for.
+// The slot is freed after its answer: an engine that still works on requests that
+// were given up, and gets new ones, has more than it bears.
+func (j *job) abandon(a Attempt) {
+	l := j.leader
+	if !l.model || !j.sent {
+		return
+	}
+	if err := l.client.Cancel(a.Address, a.Number, l.attemptNumber()); err != nil {
+		l.logger.Debug().Err(err).Str("request", j.request.Number).Msg("cancel-failed")
+	}
+}
+
 func (j *job) attempt(address string) Attempt {
 	l := j.leader
 	return Attempt{
@@ -222,9 +244,6 @@
 func (j *job) attemptFailed(a Attempt, err error) (*request.Failure, schedule.Ending) {
 	l := j.leader
 	if j.ctx.Err() != nil {
-		if l.model && j.sent {
-			go l.client.Cancel(a.Address, a.Number, l.attemptNumber())
-		}
 		return request.Fail(request.CodeCanceled, "caller left"), schedule.EndedCanceled
 	}
 	var ae *AttemptError
@@ -321,7 +340,6 @@
 		}
 		var f *request.Failure
 		if errors.As(err, &f) {
-			go l.client.Cancel(a.Address, a.Number, l.attemptNumber())
 			return f, schedule.EndedCanceled
 		}
 		failure, ending := j.attemptFailed(a, BodyError(a.Address, err))
--- a/caller/reply.go
+++ b/caller/reply.go
@@ -170,32 +170,55 @@
 	c.Set(HeaderOutcome, string(request.Ran))
 	c.Set(fiber.HeaderCacheControl, "no-cache")
 	c.Status(head.Status)
-	pr, pw := io.Pipe()
-	c.Context().SetBodyStream(pr, -1)
-	go func() {
-		defer x.cancel()
-		end := copyEvents(pw, x)
-		v.log(r, end)
-		if end.Failure == nil {
-			pw.Close()
-			return
-		}
-		fmt.Fprintf(pw, "event: error\ndata: %s\n\n", failureJSON(r.Number, end.Outcome, end.Failure))
-		pw.CloseWithError(errStreamBroke)
-	}()
+	c.Context().SetBodyStream(&streamReader{server: v, request: r, exchange: x}, -1)
 }
 
-func copyEvents(w io.Writer, x *exchange) request.Event {
-	for e := range x.events {
-		if e.Kind == request.EventEnd {
-			return e
+// streamReader is an answer's body as the HTTP server reads it, event by event.
+type streamReader struct {
+	server   *Server
+	request  *request.Request
+	exchange *exchange
+	rest     []byte // of the last event
+	err      error  // once the last event came
+}
+
+var _ io.ReadCloser = (*streamReader)(nil)
+
+// Read returns the next part of the answer.
+func (s *streamReader) Read(p []byte) (int, error) {
+	for len(s.rest) == 0 {
+		if s.err != nil {
+			return 0, s.err
 		}
-		if _, err := w.Write(e.Data); err != nil {
-			x.cancel()
-			return x.last()
+		e := <-s.exchange.events
+		if e.Kind == request.EventEnd {
+			s.end(e)
+			continue
 		}
+		s.rest = e.Data
 	}
-	return request.Event{}
+	n := copy(p, s.rest)
+	s.rest = s.rest[n:]
+	return n, nil
+}
+
+func (s *streamReader) end(e request.Event) {
+	s.server.log(s.request, e)
+	s.err = io.EOF
+	if e.Failure != nil {
+		s.err = errStreamBroke
+		s.rest = fmt.Appendf(nil, "event: error\ndata: %s\n\n", failureJSON(s.request.Number, e.Outcome, e.Failure))
+	}
+}
+
+// Close gives the rest of the answer up, if there is any.
+func (s *streamReader) Close() error {
+	s.exchange.cancel()
+	if s.err == nil {
+		s.err = errStreamBroke
+		go func() { s.server.log(s.request, s.exchange.last()) }()
+	}
+	return nil
 }
 
 // failureBody is the JSON form of a failure.
--- a/router/router_test.go
+++ b/router/router_test.go
@@ -283,6 +283,31 @@
 	})
 }
 
+// TestCallersLeaveInCrowds has many callers hang up under load: the engines' slots
+// are given to others only when the engines have stopped working on what was left.
+func TestCallersLeaveInCrowds(t *testing.T) {
+	o := small(10)
+	o.Zones, o.Engines, o.Warm = []string{"kgn-a"}, 1, false
+	f := startFleet(t, o)
+	f.Engines[0].SetCancelTime(50 * time.Millisecond)
+	c := lab.NewClient()
+	p := pool.New().WithMaxGoroutines(30)
+	for n := range 300 {
+		p.Go(func() {
+			ctx, cancel := context.WithTimeout(context.Background(), time.Duration(5+n%40)*time.Millisecond)
+			defer cancel()
+			c.Complete(ctx, f.Routers[0].Address(), lab.Customer(n%2), fmt.Sprintf("crowd %d", n), 200, true)
+		})
+	}
+	p.Wait()
+	if got, want := f.Engines[0].Stats().FellOver, 0; got != want {
+		t.Errorf("engine fell over %d times, want %d", got, want)
+	}
+	if got := f.Engines[0].Stats().Cancelled; got == 0 {
+		t.Error("no caller left while its request ran")
+	}
+}
+
 // TestIdempotencyKey runs a keyed call once, through any router, and repeats its answer.
 func TestIdempotencyKey(t *testing.T) {
 	f := startFleet(t, small(6))
--- a/standin/engine.go
+++ b/standin/engine.go
@@ -47,24 +47,25 @@
 
 	unnumbered atomic.Int64
 
-	mu       sync.Mutex
-	boot     int
-	booted   time.Time
-	served   bool // it has been working since it booted
-	batch    map[string]*generation
-	kept     map[string]*generation
-	prefixes map[uint64]int64
-	clock    int64
-	reports  []loadAt
-	stats    EngineStats
-	ran      map[string]int // by prompt
-	crashOn  string         // a prompt with this text crashes the engine
-	crossIf  func(prompt string) bool
-	slow     float64 // factor on all times
-	leaving  bool
-	down     bool
-	busy     time.Duration // integral of batch size over time, for utilisation
-	busyAt   time.Time
+	mu         sync.Mutex
+	boot       int
+	booted     time.Time
+	served     bool // it has been working since it booted
+	batch      map[string]*generation
+	kept       map[string]*generation
+	prefixes   map[uint64]int64
+	clock      int64
+	reports    []loadAt
+	stats      EngineStats
+	ran        map[string]int // by prompt
+	crashOn    string         // a prompt with this text crashes the engine
+	crossIf    func(prompt string) bool
+	slow       float64 // factor on all times
+	leaving    bool
+	cancelTime time.Duration
+	down       bool
+	busy       time.Duration // integral of batch size over time, for utilisation
+	busyAt     time.Time
 }
 
 // EngineStats count what an engine did.
@@ -174,6 +175,9 @@
 	}
 }
 
+// SetCancelTime sets how long the engine takes to carry out an order to cancel.
+func (e *Engine) SetCancelTime(d time.Duration) { e.set(func() { e.cancelTime = d }) }
+
 // CrossIf makes the engine answer a prompt with another attempt's number if the
 // function says so.
 func (e *Engine) CrossIf(f func(prompt string) bool) { e.set(func() { e.crossIf = f }) }
--- a/standin/enginehttp.go
+++ b/standin/enginehttp.go
@@ -8,6 +8,7 @@
 	"encoding/json"
 	"fmt"
 	"strings"
+	"time"
 
 	"github.com/valyala/fasthttp"
 )
@@ -123,6 +124,10 @@
 // stream resumes or cancels a stream by its attempt's number.
 func (e *Engine) stream(c *fasthttp.RequestCtx, id string) {
 	if c.IsDelete() {
+		e.mu.Lock()
+		pause := e.cancelTime
+		e.mu.Unlock()
+		time.Sleep(pause)
 		e.cancel(id)
 		c.SetStatusCode(204)
 		return
