--- a/backend/leader.go
+++ b/backend/leader.go
@@ -156,11 +156,11 @@
 	l.pump(now)
 }
 
-// Chill returns all windows to cold, as after this process was paused.
-func (l *Leader) Chill(now time.Time) {
+// ResetCold returns all windows to cold, as after this process was paused.
+func (l *Leader) ResetCold(now time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.scheduler.Chill(now)
+	l.scheduler.ResetCold(now)
 }
 
 // Remote takes in service that a customer received at other shards.
--- a/cmd/bulrushtally/print.go
+++ b/cmd/bulrushtally/print.go
@@ -83,7 +83,7 @@
 	return strings.Join(parts, "; ")
 }
 
-func printSuspects(list []schedule.Crime) error {
+func printSuspects(list []schedule.CrashRecord) error {
 	t := table()
 	fmt.Fprintln(t, "DIGEST\tDEATHS")
 	for _, x := range list {
--- a/operator/api.go
+++ b/operator/api.go
@@ -32,7 +32,7 @@
 	// Status returns this router's view of all routers.
 	Status() Status
 	// Suspects returns the requests that were running when backend servers died.
-	Suspects() []schedule.Crime
+	Suspects() []schedule.CrashRecord
 	// ClearSuspect forgets one of them on every router that can be reached.
 	ClearSuspect(digest uint64) bool
 }
--- a/operator/client.go
+++ b/operator/client.go
@@ -169,8 +169,8 @@
 }
 
 // Suspects returns the requests that were running when backend servers died.
-func (c *Client) Suspects() ([]schedule.Crime, error) {
-	var list []schedule.Crime
+func (c *Client) Suspects() ([]schedule.CrashRecord, error) {
+	var list []schedule.CrashRecord
 	err := c.call("GET", "/suspects", nil, nil, &list)
 	return list, err
 }
--- a/peer/link.go
+++ b/peer/link.go
@@ -90,8 +90,8 @@
 	Pull(l *Link, p *Pull)
 	// Changes takes in changes of the configuration.
 	Changes(l *Link, c *Changes)
-	// Crimes takes in the digests of requests that may crash backend servers.
-	Crimes(from string, c *Crimes)
+	// CrashRecords takes in the digests of requests that may crash backend servers.
+	CrashRecords(from string, c *CrashRecords)
 	// Up and Down take in that a link opened or ended; goodbye says that the other router stops.
 	Up(l *Link)
 	Down(l *Link, goodbye bool)
@@ -188,8 +188,8 @@
 		return dispatch(f, func(p *Pull) { l.server.Pull(l, p) })
 	case KindChanges:
 		return dispatch(f, func(c *Changes) { l.server.Changes(l, c) })
-	case KindCrimes:
-		return dispatch(f, func(c *Crimes) { l.server.Crimes(l.peer.VM, c) })
+	case KindCrashRecords:
+		return dispatch(f, func(c *CrashRecords) { l.server.CrashRecords(l.peer.VM, c) })
 	case KindGoodbye:
 		l.goodbyes.Store(true)
 		l.server.Down(l, true)
--- a/peer/message.go
+++ b/peer/message.go
@@ -22,19 +22,19 @@
 
 // The messages.
 const (
-	KindHello     Kind = iota + 1
-	KindProof          // ends the handshake
-	KindHeartbeat      // Heartbeat
-	KindRequest        // request.Request
-	KindEvent          // request.Event
-	KindCancel         // gives a request up
-	KindRecall         // gives a request up unless it was admitted
-	KindCredit         // Credit
-	KindRoom           // Room
-	KindPull           // Pull
-	KindChanges        // Changes
-	KindCrimes         // Crimes
-	KindGoodbye        // the sender stops
+	KindHello        Kind = iota + 1
+	KindProof             // ends the handshake
+	KindHeartbeat         // Heartbeat
+	KindRequest           // request.Request
+	KindEvent             // request.Event
+	KindCancel            // gives a request up
+	KindRecall            // gives a request up unless it was admitted
+	KindCredit            // Credit
+	KindRoom              // Room
+	KindPull              // Pull
+	KindChanges           // Changes
+	KindCrashRecords      // CrashRecords
+	KindGoodbye           // the sender stops
 	kindEnd
 )
 
@@ -93,9 +93,9 @@
 	Snapshot *config.Snapshot `cbor:"2,keyasint,omitempty"`
 }
 
-// Crimes carries the digests of requests that were running when backend servers died.
-type Crimes struct {
-	Crimes []schedule.Crime `cbor:"1,keyasint"`
+// CrashRecords carries the digests of requests that were running when backend servers died.
+type CrashRecords struct {
+	CrashRecords []schedule.CrashRecord `cbor:"1,keyasint"`
 }
 
 // FrameError says that a message broke the protocol, which closes its link.
--- a/peer/peer_test.go
+++ b/peer/peer_test.go
@@ -38,12 +38,12 @@
 	s.beats = append(s.beats, h)
 }
 
-func (s *side) Room(string, *peer.Room)           {}
-func (s *side) Pull(*peer.Link, *peer.Pull)       {}
-func (s *side) Changes(*peer.Link, *peer.Changes) {}
-func (s *side) Crimes(string, *peer.Crimes)       {}
-func (s *side) Up(*peer.Link)                     {}
-func (s *side) Down(*peer.Link, bool)             {}
+func (s *side) Room(string, *peer.Room)                 {}
+func (s *side) Pull(*peer.Link, *peer.Pull)             {}
+func (s *side) Changes(*peer.Link, *peer.Changes)       {}
+func (s *side) CrashRecords(string, *peer.CrashRecords) {}
+func (s *side) Up(*peer.Link)                           {}
+func (s *side) Down(*peer.Link, bool)                   {}
 
 const secret = "a secret of the routers"
 
--- a/router/gossip.go
+++ b/router/gossip.go
@@ -88,7 +88,7 @@
 	r.mu.Unlock()
 	r.logger.Warn().Dur("gap", gap).Msg("process-was-paused")
 	for _, l := range r.led() {
-		l.Chill(now)
+		l.ResetCold(now)
 	}
 }
 
--- a/router/status.go
+++ b/router/status.go
@@ -44,7 +44,7 @@
 }
 
 // Suspects returns the requests that were running when backend servers died.
-func (r *Router) Suspects() []schedule.Crime {
+func (r *Router) Suspects() []schedule.CrashRecord {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	return r.quarantine.List()
@@ -53,10 +53,10 @@
 // ClearSuspect forgets a request's deaths here and at the routers that hear of it from here.
 func (r *Router) ClearSuspect(digest uint64) bool {
 	r.mu.Lock()
-	known := r.quarantine.Pardon(digest)
+	known := r.quarantine.Forget(digest)
 	r.mu.Unlock()
 	if known {
-		r.tellCrimes("", []schedule.Crime{{Digest: digest}})
+		r.spreadCrashRecords("", []schedule.CrashRecord{{Digest: digest}})
 	}
 	return known
 }
--- a/router/tracking.go
+++ b/router/tracking.go
@@ -115,7 +115,7 @@
 	r.logger.Warn().Str("request", number).Str("customer", customer).Uint64("digest", digest).
 		Int("deaths", c.Deaths).Msg("backend-died-running-request")
 	r.metrics.Counter("backend_deaths").Inc(1)
-	r.tellCrimes("", []schedule.Crime{c})
+	r.spreadCrashRecords("", []schedule.CrashRecord{c})
 }
 
 // Cleared takes in that a suspect request ran to its end.
@@ -125,26 +125,26 @@
 	r.quarantine.Cleared(digest)
 }
 
-// Crimes takes in what another router knows of requests, and passes news on.
-func (r *Router) Crimes(from string, c *peer.Crimes) {
-	var news []schedule.Crime
+// CrashRecords takes in what another router knows of requests, and passes news on.
+func (r *Router) CrashRecords(from string, c *peer.CrashRecords) {
+	var news []schedule.CrashRecord
 	r.mu.Lock()
 	now := time.Now()
-	for _, x := range c.Crimes {
+	for _, x := range c.CrashRecords {
 		if r.quarantine.Heard(now, x) {
 			news = append(news, x)
 		}
 	}
 	r.mu.Unlock()
 	if len(news) > 0 {
-		r.tellCrimes(from, news)
+		r.spreadCrashRecords(from, news)
 	}
 }
 
-func (r *Router) tellCrimes(except string, list []schedule.Crime) {
+func (r *Router) spreadCrashRecords(except string, list []schedule.CrashRecord) {
 	for _, l := range r.neighbours() {
 		if l.Peer().VM != except {
-			l.Send(peer.KindCrimes, peer.Crimes{Crimes: list})
+			l.Send(peer.KindCrashRecords, peer.CrashRecords{CrashRecords: list})
 		}
 	}
 }
--- a/schedule/retry.go
+++ b/schedule/retry.go
@@ -43,13 +43,13 @@
 
 // Times for which a Quarantine remembers.
 const (
-	suspectTime = 10 * time.Minute
-	refuseTime  = 10 * time.Minute
-	maxCrimes   = 4096
+	suspectTime     = 10 * time.Minute
+	refuseTime      = 10 * time.Minute
+	maxCrashRecords = 4096
 )
 
-// Crime is what is known of one request's digest.
-type Crime struct {
+// CrashRecord is what is known of one request's digest.
+type CrashRecord struct {
 	Digest uint64 `cbor:"1,keyasint" json:"digest"`
 	Deaths int    `cbor:"2,keyasint" json:"deaths"`
 
@@ -62,58 +62,58 @@
 // Digests spread between routers as counts of deaths. The greater count wins, so
 // a message that arrives twice adds nothing.
 type Quarantine struct {
-	crimes map[uint64]*Crime
+	records map[uint64]*CrashRecord
 }
 
 // NewQuarantine returns an empty Quarantine.
-func NewQuarantine() *Quarantine { return &Quarantine{crimes: map[uint64]*Crime{}} }
+func NewQuarantine() *Quarantine { return &Quarantine{records: map[uint64]*CrashRecord{}} }
 
 // Died takes in that a backend server died while it ran a request, and returns what is now known of it.
-func (q *Quarantine) Died(now time.Time, digest uint64) Crime {
-	c := q.crimes[digest]
+func (q *Quarantine) Died(now time.Time, digest uint64) CrashRecord {
+	c := q.records[digest]
 	if c == nil || now.Sub(c.last) > suspectTime {
 		q.trim(now)
-		c = &Crime{Digest: digest}
-		q.crimes[digest] = c
+		c = &CrashRecord{Digest: digest}
+		q.records[digest] = c
 	}
 	c.Deaths++
 	c.last = now
 	return *c
 }
 
-// Pardon forgets a request, and reports whether it was known.
-func (q *Quarantine) Pardon(digest uint64) bool {
-	_, known := q.crimes[digest]
-	delete(q.crimes, digest)
+// Forget forgets a request, and reports whether it was known.
+func (q *Quarantine) Forget(digest uint64) bool {
+	_, known := q.records[digest]
+	delete(q.records, digest)
 	return known
 }
 
 // Heard takes in what another router knows of a request, and reports whether it is
-// news. No deaths at all mean a pardon.
-func (q *Quarantine) Heard(now time.Time, c Crime) bool {
+// news. No deaths at all mean that it was cleared.
+func (q *Quarantine) Heard(now time.Time, c CrashRecord) bool {
 	if c.Deaths == 0 {
-		return q.Pardon(c.Digest)
+		return q.Forget(c.Digest)
 	}
-	mine := q.crimes[c.Digest]
+	mine := q.records[c.Digest]
 	if mine != nil && mine.Deaths >= c.Deaths {
 		return false
 	}
 	q.trim(now)
 	c.last = now
-	q.crimes[c.Digest] = &c
+	q.records[c.Digest] = &c
 	return true
 }
 
 // Cleared takes in that a suspect ran to its end; a refused request stays refused.
 func (q *Quarantine) Cleared(digest uint64) {
-	if c := q.crimes[digest]; c != nil && c.Deaths < 2 {
-		delete(q.crimes, digest)
+	if c := q.records[digest]; c != nil && c.Deaths < 2 {
+		delete(q.records, digest)
 	}
 }
 
 // Verdict returns whether a request may run.
 func (q *Quarantine) Verdict(now time.Time, digest uint64) Verdict {
-	c := q.crimes[digest]
+	c := q.records[digest]
 	switch {
 	case c == nil:
 		return Clean
@@ -126,9 +126,9 @@
 }
 
 // List returns what is known, for operators.
-func (q *Quarantine) List() []Crime {
-	var list []Crime
-	for _, c := range q.crimes {
+func (q *Quarantine) List() []CrashRecord {
+	var list []CrashRecord
+	for _, c := range q.records {
 		list = append(list, *c)
 	}
 	return list
@@ -136,9 +136,9 @@
 
 // trim bounds the memory: what is too old goes, and past the bound, anything.
 func (q *Quarantine) trim(now time.Time) {
-	for d, c := range q.crimes {
-		if now.Sub(c.last) > max(suspectTime, refuseTime) || len(q.crimes) >= maxCrimes {
-			delete(q.crimes, d)
+	for d, c := range q.records {
+		if now.Sub(c.last) > max(suspectTime, refuseTime) || len(q.records) >= maxCrashRecords {
+			delete(q.records, d)
 		}
 	}
 }
--- a/schedule/scheduler.go
+++ b/schedule/scheduler.go
@@ -131,10 +131,10 @@
 	}
 }
 
-// Chill returns every window to its cold size, as when leadership begins or the process was paused.
-func (s *Scheduler) Chill(now time.Time) {
+// ResetCold returns every window to its cold size, as when leadership begins or the process was paused.
+func (s *Scheduler) ResetCold(now time.Time) {
 	for _, v := range s.servers {
-		v.Chill(now)
+		v.ResetCold(now)
 	}
 }
 
@@ -375,7 +375,7 @@
 func (s *Scheduler) Unreachable(now time.Time, backend string) {
 	if v := s.server(backend); v != nil && !v.down {
 		v.down = true
-		v.Chill(now)
+		v.ResetCold(now)
 	}
 }
 
--- a/schedule/window.go
+++ b/schedule/window.go
@@ -81,8 +81,8 @@
 	w.size = min(w.size, w.limit)
 }
 
-// Chill returns the window to its cold size, as after a restart of the backend server.
-func (w *Window) Chill(now time.Time) {
+// ResetCold returns the window to its cold size, as after a restart of the backend server.
+func (w *Window) ResetCold(now time.Time) {
 	w.size = coldWindow
 	w.grownAt = now
 	w.healthy = 0
@@ -159,7 +159,7 @@
 		w.cut(now, 0.5)
 	case EndedDead:
 		w.down = true
-		w.Chill(now)
+		w.ResetCold(now)
 	}
 }
 
@@ -173,7 +173,7 @@
 	w.foreign = max(0, r.Running+r.Waiting-max(w.peaks[0], w.peaks[1]))
 	w.reportedAt = now
 	if cold {
-		w.Chill(now)
+		w.ResetCold(now)
 	}
 	return cold
 }
