A shard's name without fmt; clearer names for what routers told each other

A last read of the whole change: a shard's name is built for each shard that an entry router weighs, for each customer and event, by fmt.Sprintf; it is joined directly now. told and said are peerMembers and sentSelf. Not measured beyond the tests of config, caller, fleet, peer, schedule and two of router, which pass.

--- a/config/view.go
+++ b/config/view.go
@@ -4,8 +4,8 @@
 // backend servers, and which customers may use which of them.
 
 import (
-	"fmt"
 	"slices"
+	"strconv"
 	"strings"
 	"sync"
 )
@@ -18,7 +18,9 @@
 }
 
 // String returns the shard as service/zone/number.
-func (id ShardID) String() string { return fmt.Sprintf("%s/%s/%d", id.Service, id.Zone, id.Number) }
+func (id ShardID) String() string {
+	return id.Service + "/" + id.Zone + "/" + strconv.Itoa(id.Number)
+}
 
 // Shard is a group of backend servers with one leader.
 type Shard struct {
--- a/router/gossip.go
+++ b/router/gossip.go
@@ -166,8 +166,8 @@
 func (r *Router) heartbeat(to fleet.Member, sums []fleet.Sums, list []fleet.Member, vouch bool) *peer.Heartbeat {
 	self := r.members.Self()
 	h := &peer.Heartbeat{Revision: self.Revision, Sums: sums}
-	if d := digest([]fleet.Member{self}, to.Incarnation); r.said[to.VM] != d {
-		r.said[to.VM] = d
+	if d := digest([]fleet.Member{self}, to.Incarnation); r.sentSelf[to.VM] != d {
+		r.sentSelf[to.VM] = d
 		h.Member = &self
 	}
 	if !vouch {
@@ -239,9 +239,9 @@
 func (r *Router) sender(l *peer.Link, h *peer.Heartbeat) fleet.Member {
 	vm := l.Peer().VM
 	if h.Member != nil {
-		r.told[vm] = *h.Member
+		r.peerMembers[vm] = *h.Member
 	}
-	from, ok := r.told[vm]
+	from, ok := r.peerMembers[vm]
 	if !ok {
 		from = l.Peer()
 	}
@@ -293,9 +293,9 @@
 	r.mu.Lock()
 	changed := r.members.Heard(time.Now(), l.Peer())
 	delete(r.listed, l.Peer().VM)
-	delete(r.said, l.Peer().VM)
-	if m, ok := r.told[l.Peer().VM]; !ok || m.Incarnation != l.Peer().Incarnation {
-		r.told[l.Peer().VM] = l.Peer()
+	delete(r.sentSelf, l.Peer().VM)
+	if m, ok := r.peerMembers[l.Peer().VM]; !ok || m.Incarnation != l.Peer().Incarnation {
+		r.peerMembers[l.Peer().VM] = l.Peer()
 	}
 	hello := r.introduction(r.introduce(l.Peer()))
 	r.mu.Unlock()
--- a/router/router.go
+++ b/router/router.go
@@ -53,29 +53,29 @@
 	charges charges
 
 	// mu guards what the packages that decide hold for the whole router.
-	mu         sync.Mutex
-	members    *fleet.Members
-	accounts   *fleet.Accounts
-	quarantine *schedule.Quarantine
-	leaders    map[config.ShardID]*leading
-	interest   map[config.ShardID]map[string]time.Time // routers that sent requests lately
-	listed     map[string]uint64                       // by VM: the list of members it was last sent
-	vouched    map[string][]fleet.Member               // by relay: the members it last listed
-	lost       map[string]lostRouter                   // silent routers, by VM
-	began      time.Time
-	ticked     time.Time
-	ready      bool
-	leaving    bool
-	names      map[fleet.KeyID]fleet.Key
-	told       map[string]fleet.Member // what each router last said of itself over its link
-	said       map[string]uint64       // by VM: what it was last told of this router
-	beats      int
-	asked      bool            // peers and platform were asked for the configuration
-	pulled     time.Time       // last time a peer was asked
-	vms        []platform.VM   // the platform's list, as last read
-	departing  map[string]bool // backend servers that leave by it
-	trimmed    string          // claim up to which the table was trimmed
-	snapshot   uint64          // revision of the last snapshot stored
+	mu          sync.Mutex
+	members     *fleet.Members
+	accounts    *fleet.Accounts
+	quarantine  *schedule.Quarantine
+	leaders     map[config.ShardID]*leading
+	interest    map[config.ShardID]map[string]time.Time // routers that sent requests lately
+	listed      map[string]uint64                       // by VM: the list of members it was last sent
+	vouched     map[string][]fleet.Member               // by relay: the members it last listed
+	lost        map[string]lostRouter                   // silent routers, by VM
+	began       time.Time
+	ticked      time.Time
+	ready       bool
+	leaving     bool
+	names       map[fleet.KeyID]fleet.Key
+	peerMembers map[string]fleet.Member // what each router last said of itself over its link
+	sentSelf    map[string]uint64       // by VM: digest of what it was last sent about this router
+	beats       int
+	asked       bool            // peers and platform were asked for the configuration
+	pulled      time.Time       // last time a peer was asked
+	vms         []platform.VM   // the platform's list, as last read
+	departing   map[string]bool // backend servers that leave by it
+	trimmed     string          // claim up to which the table was trimmed
+	snapshot    uint64          // revision of the last snapshot stored
 }
 
 // New returns a router that listens but does not serve yet.
@@ -83,16 +83,16 @@
 	now := time.Now()
 	r := &Router{
 		settings: s, began: now, ticked: now, stopped: make(chan struct{}),
-		logger:     logger.With().Str("vm", s.VM).Str("zone", s.Zone).Logger(),
-		store:      config.NewStore(),
-		quarantine: schedule.NewQuarantine(),
-		leaders:    map[config.ShardID]*leading{},
-		interest:   map[config.ShardID]map[string]time.Time{},
-		listed:     map[string]uint64{},
-		vouched:    map[string][]fleet.Member{},
-		lost:       map[string]lostRouter{},
-		told:       map[string]fleet.Member{},
-		said:       map[string]uint64{},
+		logger:      logger.With().Str("vm", s.VM).Str("zone", s.Zone).Logger(),
+		store:       config.NewStore(),
+		quarantine:  schedule.NewQuarantine(),
+		leaders:     map[config.ShardID]*leading{},
+		interest:    map[config.ShardID]map[string]time.Time{},
+		listed:      map[string]uint64{},
+		vouched:     map[string][]fleet.Member{},
+		lost:        map[string]lostRouter{},
+		peerMembers: map[string]fleet.Member{},
+		sentSelf:    map[string]uint64{},
 	}
 	incarnation := uint64(now.UnixNano())
 	r.accounts = fleet.NewAccounts(now, s.VM, incarnation)
