--- a/lab/path.go
+++ b/lab/path.go
@@ -39,9 +39,7 @@
 }
 
 func path(e *Env) (*Report, error) {
-	o := Today(e.Seed)
-	o.Warm = true
-	s, err := StartSystem(o, Ours)
+	s, err := startWarm(e.Seed)
 	if err != nil {
 		return nil, err
 	}
--- a/lab/system.go
+++ b/lab/system.go
@@ -21,6 +21,13 @@
 	mu sync.Mutex // guards Routers once the system runs
 }
 
+// startWarm starts our routers at today's size, before engines that are warm.
+func startWarm(seed uint64) (*System, error) {
+	o := Today(seed)
+	o.Warm = true
+	return StartSystem(o, Ours)
+}
+
 // swap puts a new router in the place of one that was stopped.
 func (s *System) swap(i int, r *router.Router) {
 	s.mu.Lock()
--- a/lab/zonechange.go
+++ b/lab/zonechange.go
@@ -28,19 +28,17 @@
 }
 
 func zonechange(e *Env) (*Report, error) {
-	o := Today(e.Seed)
-	o.Warm = true
-	s, err := StartSystem(o, Ours)
+	s, err := startWarm(e.Seed)
 	if err != nil {
 		return nil, err
 	}
 	defer s.Close()
 	r := &Report{}
-	l := NewLoad(s, o.Customers, e.Seed)
+	l := NewLoad(s, s.Options.Customers, e.Seed)
 	if err := warmUp(s, e.Seed+1); err != nil {
 		return nil, err
 	}
-	err = under(l, zoneGroups(o.Customers, len(s.Addresses())), func(context.Context) error { return s.zoneOutAndIn(e, l, r) })
+	err = under(l, zoneGroups(s.Options.Customers, len(s.Addresses())), func(context.Context) error { return s.zoneOutAndIn(e, l, r) })
 	r.atMost("bad answers, none cut off", "", float64(l.bad.Load()), 0)
 	return r, err
 }
