Move the change log and claims out of platform/ into ledger/

Cause: platform/ is to hold only the translation to the users' platform, while the change log, the claims, the budget and the breaker are product. Ruled out: leaving them beside the adapter, since the check that nothing outside platform/ knows its names could not hold then. Only the package's name changes.

--- a/caller/keyed.go
+++ b/caller/keyed.go
@@ -8,7 +8,7 @@
 
 	"github.com/gofiber/fiber/v2"
 
-	"bulrushtally/platform"
+	"bulrushtally/ledger"
 	"bulrushtally/request"
 )
 
@@ -41,7 +41,7 @@
 }
 
 // repeat answers a request whose key an earlier one has claimed.
-func (v *Server) repeat(c *fiber.Ctx, r *request.Request, earlier *platform.Claim) error {
+func (v *Server) repeat(c *fiber.Ctx, r *request.Request, earlier *ledger.Claim) error {
 	switch {
 	case earlier.Digest != r.Digest():
 		return writeFailure(c, r.Number, request.NotRun, request.Fail(request.CodeKeyReused, "the key belongs to request %s", earlier.Token), 0)
@@ -59,7 +59,7 @@
 
 // settle records what became of a claimed request. One whose end is unknown
 // keeps its claim, so that nobody runs it again.
-func (v *Server) settle(mine *platform.Claim, a collected) {
+func (v *Server) settle(mine *ledger.Claim, a collected) {
 	var err error
 	switch {
 	case a.end.Failure == nil:
--- a/caller/server.go
+++ b/caller/server.go
@@ -14,7 +14,7 @@
 	"github.com/rs/zerolog"
 
 	"bulrushtally/config"
-	"bulrushtally/platform"
+	"bulrushtally/ledger"
 	"bulrushtally/request"
 )
 
@@ -28,9 +28,9 @@
 
 // Claims claims idempotency keys in the platform's table.
 type Claims interface {
-	Claim(customer, key, token string, digest uint64, now time.Time) (mine, earlier *platform.Claim, err error)
-	Finish(c *platform.Claim, status int, headers []request.Header, body []byte) error
-	Release(c *platform.Claim) error
+	Claim(customer, key, token string, digest uint64, now time.Time) (mine, earlier *ledger.Claim, err error)
+	Finish(c *ledger.Claim, status int, headers []request.Header, body []byte) error
+	Release(c *ledger.Claim) error
 }
 
 // ServerOptions are a Server's parameters.
--- a/faultmatrix/change_test.go
+++ b/faultmatrix/change_test.go
@@ -12,7 +12,7 @@
 
 	"bulrushtally/config"
 	"bulrushtally/lab"
-	"bulrushtally/platform"
+	"bulrushtally/ledger"
 )
 
 // replica is a router's store in the cells of a change.
@@ -108,8 +108,8 @@
 	var err error
 	for range 100 {
 		c, err = w.change(s, number, office, wish)
-		var pe *platform.Error
-		var doubt *platform.InDoubtError
+		var pe *ledger.Error
+		var doubt *ledger.InDoubtError
 		if !errors.As(err, &pe) && !errors.As(err, &doubt) {
 			return c, err
 		}
--- a/faultmatrix/store_test.go
+++ b/faultmatrix/store_test.go
@@ -10,7 +10,7 @@
 	"sync"
 	"time"
 
-	"bulrushtally/platform"
+	"bulrushtally/ledger"
 )
 
 // tableFaults are the fake's faults.
@@ -24,12 +24,12 @@
 	at func(step)
 
 	mu      sync.Mutex
-	rows    map[string]platform.Row
+	rows    map[string]ledger.Row
 	version uint64
 	faults  tableFaults
 }
 
-func newTable() *table { return &table{rows: map[string]platform.Row{}} }
+func newTable() *table { return &table{rows: map[string]ledger.Row{}} }
 
 func (b *table) set(f tableFaults) {
 	b.mu.Lock()
@@ -55,21 +55,21 @@
 	b.mu.Unlock()
 	time.Sleep(f.slow)
 	if f.down {
-		return &platform.Error{Kind: platform.Unavailable, Call: "fake", Err: errDown}
+		return &ledger.Error{Kind: ledger.Unavailable, Call: "fake", Err: errDown}
 	}
 	return nil
 }
 
 func notFound(key string) error {
-	return &platform.Error{Kind: platform.NotFound, Call: "get " + key, Err: errors.New("no row")}
+	return &ledger.Error{Kind: ledger.NotFound, Call: "get " + key, Err: errors.New("no row")}
 }
 
-func (b *table) Get(key string) (platform.Row, error) {
+func (b *table) Get(key string) (ledger.Row, error) {
 	if strings.HasPrefix(key, "config/head") {
 		b.at(atRead)
 	}
 	if err := b.enter(); err != nil {
-		return platform.Row{}, err
+		return ledger.Row{}, err
 	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -80,13 +80,13 @@
 	return r, nil
 }
 
-func (b *table) Rows(prefix, after string, limit int) ([]platform.Row, error) {
+func (b *table) Rows(prefix, after string, limit int) ([]ledger.Row, error) {
 	if err := b.enter(); err != nil {
 		return nil, err
 	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	var list []platform.Row
+	var list []ledger.Row
 	for k, r := range b.rows {
 		if strings.HasPrefix(k, prefix) && k > after {
 			list = append(list, r)
@@ -96,7 +96,7 @@
 	return list[:min(limit, len(list))], nil
 }
 
-func (b *table) Commit(t platform.Txn) error {
+func (b *table) Commit(t ledger.Txn) error {
 	change := len(t.Puts) > 0 && strings.HasPrefix(t.Puts[0].Key, "config/")
 	if change {
 		b.at(atWrite)
@@ -114,22 +114,22 @@
 	defer b.mu.Unlock()
 	if b.faults.lose > 0 {
 		b.faults.lose--
-		return &platform.Error{Kind: platform.Ambiguous, Call: "commit", Err: errors.New("answer lost")}
+		return &ledger.Error{Kind: ledger.Ambiguous, Call: "commit", Err: errors.New("answer lost")}
 	}
 	return nil
 }
 
-func (b *table) apply(t platform.Txn) error {
+func (b *table) apply(t ledger.Txn) error {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	for _, c := range t.Checks {
 		if b.rows[c.Key].Version != c.Version {
-			return &platform.Error{Kind: platform.Conflict, Call: "commit", Err: errors.New("version of " + c.Key)}
+			return &ledger.Error{Kind: ledger.Conflict, Call: "commit", Err: errors.New("version of " + c.Key)}
 		}
 	}
 	b.version++
 	for _, p := range t.Puts {
-		b.rows[p.Key] = platform.Row{Key: p.Key, Value: p.Value, Version: b.version}
+		b.rows[p.Key] = ledger.Row{Key: p.Key, Value: p.Value, Version: b.version}
 	}
 	for _, k := range t.Deletes {
 		delete(b.rows, k)
@@ -144,7 +144,7 @@
 // claimTable is the table as claims see it.
 type claimTable struct{ *table }
 
-func (c claimTable) Commit(t platform.Txn) error {
+func (c claimTable) Commit(t ledger.Txn) error {
 	c.at(atClaim)
 	return c.table.Commit(t)
 }
--- a/faultmatrix/world_test.go
+++ b/faultmatrix/world_test.go
@@ -19,7 +19,7 @@
 	"bulrushtally/caller"
 	"bulrushtally/config"
 	"bulrushtally/lab"
-	"bulrushtally/platform"
+	"bulrushtally/ledger"
 	"bulrushtally/request"
 	"bulrushtally/schedule"
 	"bulrushtally/standin"
@@ -31,7 +31,7 @@
 	t       *testing.T
 	table   *table
 	store   *config.Store
-	log     *platform.Log
+	log     *ledger.Log
 	engines []*standin.Engine
 	plains  []*standin.Plain
 	entry   *caller.Entry
@@ -80,7 +80,7 @@
 func newWorld(t *testing.T) *world {
 	w := &world{t: t, table: newTable(), store: config.NewStore(), tracker: &tracker{quarantine: schedule.NewQuarantine()}}
 	w.ctx, w.stop = context.WithCancel(context.Background())
-	w.log = platform.NewLog(w.table, w.table)
+	w.log = ledger.NewLog(w.table, w.table)
 	w.table.at = w.at
 	w.startBackends()
 	w.configure()
@@ -145,7 +145,7 @@
 
 // change has a change accepted by a router with a store of its own.
 func (w *world) change(s *config.Store, number, office string, wish config.Wish) (*config.Change, error) {
-	return w.log.Commit(s, platform.Draft{Request: number, Operator: office, Office: office, Plan: func(st *config.State) (*config.Change, error) {
+	return w.log.Commit(s, ledger.Draft{Request: number, Operator: office, Office: office, Plan: func(st *config.State) (*config.Change, error) {
 		c, _, err := config.Plan(st, wish)
 		return c, err
 	}})
@@ -164,7 +164,7 @@
 	w.server, err = caller.NewServer(caller.ServerOptions{
 		Listen: anyPort, MaxBody: 1 << 20, MaxHeaders: 8192, Timeout: 5 * time.Second, Logger: zerolog.Nop(),
 		Ready: func() error { w.at(atAccept); w.at(atIdentify); return nil },
-	}, w.entry, w.store, platform.NewClaims(claimTable{w.table}))
+	}, w.entry, w.store, ledger.NewClaims(claimTable{w.table}))
 	if err != nil {
 		w.t.Fatal(err)
 	}
--- a/lab/baseline.go
+++ b/lab/baseline.go
@@ -15,7 +15,7 @@
 	"bulrushtally/backend"
 	"bulrushtally/caller"
 	"bulrushtally/config"
-	"bulrushtally/platform"
+	"bulrushtally/ledger"
 	"bulrushtally/request"
 	"bulrushtally/schedule"
 	"bulrushtally/settings"
@@ -124,8 +124,8 @@
 
 var errNoClaims = errors.New("baselines have no platform")
 
-func (noClaims) Claim(string, string, string, uint64, time.Time) (mine, earlier *platform.Claim, err error) {
+func (noClaims) Claim(string, string, string, uint64, time.Time) (mine, earlier *ledger.Claim, err error) {
 	return nil, nil, errNoClaims
 }
-func (noClaims) Finish(*platform.Claim, int, []request.Header, []byte) error { return errNoClaims }
-func (noClaims) Release(*platform.Claim) error                               { return errNoClaims }
+func (noClaims) Finish(*ledger.Claim, int, []request.Header, []byte) error { return errNoClaims }
+func (noClaims) Release(*ledger.Claim) error                               { return errNoClaims }
--- a/lab/fleet.go
+++ b/lab/fleet.go
@@ -12,7 +12,7 @@
 	"github.com/rs/zerolog"
 
 	"bulrushtally/config"
-	"bulrushtally/platform"
+	"bulrushtally/ledger"
 	"bulrushtally/router"
 	"bulrushtally/settings"
 	"bulrushtally/standin"
@@ -60,7 +60,7 @@
 	Engines  []*standin.Engine
 	Plains   []*standin.Plain
 	Routers  []*router.Router
-	Log      *platform.Log // with a client of its own
+	Log      *ledger.Log // with a client of its own
 
 	store *config.Store
 	wires *wires
@@ -83,10 +83,10 @@
 	if f.Platform, err = standin.NewPlatform(anyPort, f.Options.Seed); err != nil {
 		return err
 	}
-	c := platform.NewClient(platform.Options{
+	c := ledger.NewClient(ledger.Options{
 		Address: f.Platform.Address(), Timeout: 5 * time.Second, ReadsPerSecond: 1e5, WritesPerSecond: 1e5,
 	})
-	f.Log = platform.NewLog(c, c)
+	f.Log = ledger.NewLog(c, c)
 	if err := f.startBackends(); err != nil {
 		return err
 	}
@@ -173,7 +173,7 @@
 // Apply has a change accepted past the routers, which find it in the platform's log.
 func (f *Fleet) Apply(w config.Wish) error {
 	number := fmt.Sprintf("lab-%d", f.store.View().Revision())
-	_, err := f.Log.Commit(f.store, platform.Draft{
+	_, err := f.Log.Commit(f.store, ledger.Draft{
 		Request: number, Operator: "lab", Office: "laboratory",
 		Plan: func(s *config.State) (*config.Change, error) {
 			c, _, err := config.Plan(s, w)
--- a/platform/claims.go
+++ b/ledger/claims.go
@@ -1,4 +1,4 @@
-package platform
+package ledger
 
 // This file defines Claims: a request with an idempotency key runs only after
 // its row in the table was claimed, so at most once over all routers and restarts.
--- a/platform/claims_test.go
+++ b/ledger/claims_test.go
@@ -1,29 +1,29 @@
-package platform_test
+package ledger_test
 
 import (
 	"fmt"
 	"testing"
 	"time"
 
-	"bulrushtally/platform"
+	"bulrushtally/ledger"
 	"bulrushtally/standin"
 )
 
 var epoch = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
 
-func newClient(t *testing.T) (*platform.Client, *standin.Platform) {
+func newClient(t *testing.T) (*ledger.Client, *standin.Platform) {
 	t.Helper()
 	p, err := standin.NewPlatform("127.0.0.1:0", 1)
 	if err != nil {
 		t.Fatal(err)
 	}
 	t.Cleanup(p.Close)
-	return platform.NewClient(platform.Options{Address: p.Address(), Timeout: 2 * time.Second, ReadsPerSecond: 1e4, WritesPerSecond: 1e4}), p
+	return ledger.NewClient(ledger.Options{Address: p.Address(), Timeout: 2 * time.Second, ReadsPerSecond: 1e4, WritesPerSecond: 1e4}), p
 }
 
 func TestClaimIsMadeOnce(t *testing.T) {
 	c, p := newClient(t)
-	claims := platform.NewClaims(c)
+	claims := ledger.NewClaims(c)
 	for i, lose := range []float64{0, 1} {
 		p.SetFaults(standin.PlatformFaults{LoseAnswer: lose})
 		key := fmt.Sprintf("key-%d", i)
@@ -41,14 +41,14 @@
 func TestClaimWithThePlatformDown(t *testing.T) {
 	c, p := newClient(t)
 	p.SetFaults(standin.PlatformFaults{Down: true})
-	if mine, _, err := platform.NewClaims(c).Claim("c", "k", "t", 7, epoch); err == nil || mine != nil {
+	if mine, _, err := ledger.NewClaims(c).Claim("c", "k", "t", 7, epoch); err == nil || mine != nil {
 		t.Errorf("claim with the platform down: %+v, %v", mine, err)
 	}
 }
 
 func TestClaimsAreTrimmed(t *testing.T) {
 	c, p := newClient(t)
-	claims := platform.NewClaims(c)
+	claims := ledger.NewClaims(c)
 	for i := range 25 {
 		if _, _, err := claims.Claim("c", fmt.Sprintf("key-%02d", i), "t", 7, epoch.Add(time.Duration(i)*time.Hour)); err != nil {
 			t.Fatal(err)
@@ -70,34 +70,34 @@
 func TestErrorKinds(t *testing.T) {
 	tests := []struct {
 		faults standin.PlatformFaults
-		want   platform.Kind
+		want   ledger.Kind
 	}{
-		{standin.PlatformFaults{Down: true}, platform.Unavailable},
-		{standin.PlatformFaults{Throttle: 1}, platform.Throttled},
-		{standin.PlatformFaults{LoseAnswer: 1}, platform.Ambiguous},
-		{standin.PlatformFaults{Slow: 3 * time.Second}, platform.Ambiguous},
+		{standin.PlatformFaults{Down: true}, ledger.Unavailable},
+		{standin.PlatformFaults{Throttle: 1}, ledger.Throttled},
+		{standin.PlatformFaults{LoseAnswer: 1}, ledger.Ambiguous},
+		{standin.PlatformFaults{Slow: 3 * time.Second}, ledger.Ambiguous},
 	}
 	for _, tt := range tests {
 		c, p := newClient(t)
 		p.SetFaults(tt.faults)
-		err := c.Commit(platform.Txn{Puts: []platform.Put{{Key: "k", Value: []byte("v")}}})
-		if !platform.IsKind(err, tt.want) {
+		err := c.Commit(ledger.Txn{Puts: []ledger.Put{{Key: "k", Value: []byte("v")}}})
+		if !ledger.IsKind(err, tt.want) {
 			t.Errorf("write with %+v: %v, want kind %s", tt.faults, err, tt.want)
 		}
 	}
 	c, p := newClient(t)
 	p.Close()
-	if err := c.Commit(platform.Txn{}); !platform.IsKind(err, platform.Unavailable) {
+	if err := c.Commit(ledger.Txn{}); !ledger.IsKind(err, ledger.Unavailable) {
 		t.Errorf("write to nobody: %v, want kind unavailable", err)
 	}
 }
 
 func TestBudgetAndBreaker(t *testing.T) {
 	_, p := newClient(t)
-	c := platform.NewClient(platform.Options{Address: p.Address(), Timeout: time.Second, ReadsPerSecond: 0.001, WritesPerSecond: 1})
+	c := ledger.NewClient(ledger.Options{Address: p.Address(), Timeout: time.Second, ReadsPerSecond: 0.001, WritesPerSecond: 1})
 	throttled := 0
 	for range 30 {
-		if _, err := c.Get("k"); platform.IsKind(err, platform.Throttled) {
+		if _, err := c.Get("k"); ledger.IsKind(err, ledger.Throttled) {
 			throttled++
 		}
 	}
--- a/platform/client.go
+++ b/ledger/client.go
@@ -1,4 +1,4 @@
-package platform
+package ledger
 
 // This file defines Client, the HTTP client of all platform services.
 
--- a/platform/log.go
+++ b/ledger/log.go
@@ -1,4 +1,4 @@
-package platform
+package ledger
 
 // This file defines Log, the configuration's log of changes in the table.
 //
--- a/platform/table.go
+++ b/ledger/table.go
@@ -1,4 +1,4 @@
-package platform
+package ledger
 
 // This file defines the calls of the table service, the object store and the list of VMs.
 
--- a/operator/api.go
+++ b/operator/api.go
@@ -14,7 +14,7 @@
 	"github.com/uber-go/tally/v4"
 
 	"bulrushtally/config"
-	"bulrushtally/platform"
+	"bulrushtally/ledger"
 	"bulrushtally/schedule"
 )
 
@@ -76,7 +76,7 @@
 	FirstKeyHash string // SHA-256 of the first operator's key, may be empty
 	FirstOffice  string
 	Store        *config.Store
-	Log          *platform.Log
+	Log          *ledger.Log
 	Fleet        Fleet
 	Accepted     func(*config.Change) // is told of each change accepted here
 	Logger       zerolog.Logger
--- a/operator/change.go
+++ b/operator/change.go
@@ -16,7 +16,7 @@
 	"github.com/google/uuid"
 
 	"bulrushtally/config"
-	"bulrushtally/platform"
+	"bulrushtally/ledger"
 )
 
 // Accepted is the answer to a change.
@@ -132,7 +132,7 @@
 	if len(number) > maxRequestNumber || strings.ContainsAny(number, "/ ") {
 		return fail(c, fiber.StatusBadRequest, "bad-request-number", fmt.Sprintf("%q", number), "use at most 64 characters without '/' and spaces")
 	}
-	ch, err := a.options.Log.Commit(a.options.Store, platform.Draft{
+	ch, err := a.options.Log.Commit(a.options.Store, ledger.Draft{
 		Request: number, Operator: o.Name, Office: o.Office, When: time.Now().UnixMilli(),
 		Plan: func(s *config.State) (*config.Change, error) {
 			ch, e, err := plan(s)
@@ -176,7 +176,7 @@
 
 func (a *API) platformFailed(c *fiber.Ctx, err error, number string) error {
 	f := &Failure{Code: "platform", Message: err.Error(), Remedy: "nothing was changed; try again later", Request: number}
-	var doubt *platform.InDoubtError
+	var doubt *ledger.InDoubtError
 	if errors.As(err, &doubt) {
 		f.Code, f.Remedy = "in-doubt", "ask again with the same request number to learn whether it was accepted"
 	}
--- a/router/bootstrap.go
+++ b/router/bootstrap.go
@@ -7,7 +7,7 @@
 	"time"
 
 	"bulrushtally/fleet"
-	"bulrushtally/platform"
+	"bulrushtally/ledger"
 )
 
 // Timing of bootstrap.
@@ -125,10 +125,10 @@
 	}
 }
 
-func (r *Router) takeList(list []platform.VM) {
+func (r *Router) takeList(list []ledger.VM) {
 	leaving := map[string]bool{}
 	for _, vm := range list {
-		if vm.Role == platform.RoleBackend && vm.Leaving {
+		if vm.Role == ledger.RoleBackend && vm.Leaving {
 			leaving[vm.Name] = true
 		}
 	}
@@ -148,7 +148,7 @@
 	r.mu.Unlock()
 	var out []fleet.Member
 	for _, vm := range list {
-		if vm.Role == platform.RoleRouter && !vm.Leaving && vm.Name != r.settings.VM {
+		if vm.Role == ledger.RoleRouter && !vm.Leaving && vm.Name != r.settings.VM {
 			out = append(out, fleet.Member{VM: vm.Name, Zone: vm.Zone, Address: vm.Address})
 		}
 	}
--- a/router/leaving_test.go
+++ b/router/leaving_test.go
@@ -7,7 +7,7 @@
 
 	"bulrushtally/config"
 	"bulrushtally/lab"
-	"bulrushtally/platform"
+	"bulrushtally/ledger"
 )
 
 // TestBackendLeaves drains a backend server in each of the ways there are: it gets
@@ -27,7 +27,7 @@
 		}
 	}
 	list := func(on bool) {
-		f.Platform.SetVMs([]platform.VM{{Name: "engine-00", Role: platform.RoleBackend, Zone: "kgn-a", Leaving: on}})
+		f.Platform.SetVMs([]ledger.VM{{Name: "engine-00", Role: ledger.RoleBackend, Zone: "kgn-a", Leaving: on}})
 	}
 	ways := []struct {
 		name string
--- a/router/router.go
+++ b/router/router.go
@@ -22,9 +22,9 @@
 	"bulrushtally/caller"
 	"bulrushtally/config"
 	"bulrushtally/fleet"
+	"bulrushtally/ledger"
 	"bulrushtally/operator"
 	"bulrushtally/peer"
-	"bulrushtally/platform"
 	"bulrushtally/schedule"
 	"bulrushtally/settings"
 	"bulrushtally/supervise"
@@ -38,9 +38,9 @@
 	closer   io.Closer // of metrics
 
 	store    *config.Store
-	platform *platform.Client
-	log      *platform.Log
-	claims   *platform.Claims
+	platform *ledger.Client
+	log      *ledger.Log
+	claims   *ledger.Claims
 	client   *backend.Client
 	peers    *peer.Peers
 	entry    *caller.Entry
@@ -72,7 +72,7 @@
 	beats       int
 	asked       bool            // peers and platform were asked for the configuration
 	pulled      time.Time       // last time a peer was asked
-	vms         []platform.VM   // the platform's list, as last read
+	vms         []ledger.VM     // the platform's list, as last read
 	departing   map[string]bool // backend servers that leave by it
 	trimmed     string          // claim up to which the table was trimmed
 	snapshot    uint64          // revision of the last snapshot stored
@@ -125,12 +125,12 @@
 
 func (r *Router) build(metrics fiber.Handler) error {
 	s := r.settings
-	r.platform = platform.NewClient(platform.Options{
+	r.platform = ledger.NewClient(ledger.Options{
 		Address: s.PlatformAddress, Token: s.PlatformToken, Timeout: s.PlatformTimeout,
 		ReadsPerSecond: s.ReadsPerSecond, WritesPerSecond: s.WritesPerSecond,
 	})
-	r.log = platform.NewLog(r.platform, r.platform)
-	r.claims = platform.NewClaims(r.platform)
+	r.log = ledger.NewLog(r.platform, r.platform)
+	r.claims = ledger.NewClaims(r.platform)
 	r.client = backend.NewClient(backend.Timeouts{Connect: s.ConnectTimeout, First: s.FirstTimeout, Progress: s.ProgressTimeout})
 	serverTLS, clientTLS, err := peerTLS(s)
 	if err != nil {
--- a/standin/platform.go
+++ b/standin/platform.go
@@ -13,7 +13,7 @@
 
 	"github.com/valyala/fasthttp"
 
-	"bulrushtally/platform"
+	"bulrushtally/ledger"
 )
 
 // PlatformFaults are the platform's faults; /faults sets them all at once.
@@ -30,10 +30,10 @@
 	server
 
 	mu      sync.Mutex
-	rows    map[string]platform.Row
+	rows    map[string]ledger.Row
 	keys    []string // of rows, in order
 	objects map[string][]byte
-	vms     []platform.VM
+	vms     []ledger.VM
 	version uint64
 	faults  PlatformFaults
 	random  *rand.Rand
@@ -49,7 +49,7 @@
 // NewPlatform starts a platform on an address; the seed decides which calls fail.
 func NewPlatform(address string, seed uint64) (*Platform, error) {
 	p := &Platform{
-		rows: map[string]platform.Row{}, objects: map[string][]byte{},
+		rows: map[string]ledger.Row{}, objects: map[string][]byte{},
 		random: rand.New(rand.NewPCG(seed, seed)),
 	}
 	if err := p.start(address, p.handle); err != nil {
@@ -66,7 +66,7 @@
 }
 
 // SetVMs sets the list of VMs.
-func (p *Platform) SetVMs(list []platform.VM) {
+func (p *Platform) SetVMs(list []ledger.VM) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.vms = slices.Clone(list)
@@ -148,7 +148,7 @@
 }
 
 func (p *Platform) commit(c *fasthttp.RequestCtx) {
-	var t platform.Txn
+	var t ledger.Txn
 	if err := json.Unmarshal(c.PostBody(), &t); err != nil {
 		c.Error(err.Error(), 400)
 		return
@@ -174,11 +174,11 @@
 	writeJSON(c, 200, map[string]uint64{"version": p.version})
 }
 
-func (p *Platform) put(w platform.Put) {
+func (p *Platform) put(w ledger.Put) {
 	if i, ok := slices.BinarySearch(p.keys, w.Key); !ok {
 		p.keys = slices.Insert(p.keys, i, w.Key)
 	}
-	p.rows[w.Key] = platform.Row{Key: w.Key, Value: w.Value, Version: p.version}
+	p.rows[w.Key] = ledger.Row{Key: w.Key, Value: w.Value, Version: p.version}
 }
 
 func (p *Platform) row(c *fasthttp.RequestCtx) {
@@ -197,7 +197,7 @@
 	limit := c.QueryArgs().GetUintOrZero("limit")
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	rows := []platform.Row{}
+	rows := []ledger.Row{}
 	from, _ := slices.BinarySearch(p.keys, max(prefix, after))
 	for _, k := range p.keys[from:] {
 		if !strings.HasPrefix(k, prefix) || len(rows) >= limit {
