The whole path on the users' platform, direct from the router to the backend server

Cause: the product spoke its own interface only. A gateway follows the platform's store, places requests itself and sends them straight on; platform/ holds the translation. Ruled out: forwarding through leaders (a second hop costs processor time and bytes between zones). Late and refused requests are next.

--- a/cmd/bulrushtally/process_test.go
+++ b/cmd/bulrushtally/process_test.go
@@ -64,7 +64,7 @@
 	if s.platform, err = standin.NewPlatform("127.0.0.1:0", 1); err != nil {
 		t.Fatal(err)
 	}
-	t.Cleanup(s.ledger.Close)
+	t.Cleanup(s.platform.Close)
 	for range 2 {
 		e, err := standin.NewEngine("127.0.0.1:0", standin.DefaultEngine)
 		if err != nil {
@@ -93,7 +93,7 @@
 
 // seed writes a configuration of one zone to the platform.
 func (s *site) seed() {
-	c := ledger.NewClient(ledger.Options{Address: s.ledger.Address(), Timeout: time.Second, ReadsPerSecond: 1e4, WritesPerSecond: 1e4})
+	c := ledger.NewClient(ledger.Options{Address: s.platform.Address(), Timeout: time.Second, ReadsPerSecond: 1e4, WritesPerSecond: 1e4})
 	log, store := ledger.NewLog(c, c), config.NewStore()
 	kind := func(k string) map[string]string { return map[string]string{"kind": k} }
 	list := []*config.Object{
@@ -127,7 +127,7 @@
 		s.t.Fatal(err)
 	}
 	text := fmt.Sprintf("[vm]\nname = kgn-a-%d\nzone = kgn-a\nregion = jm-south\n[callers]\nlisten = %s\n[peers]\nlisten = %s\nsecret = secret of the processes\naddresses = %s\n[platform]\naddress = %s\n[operators]\nfirst-key-hash = %s\nfirst-office = kingston\n[backends]\nprogress-timeout = 2s\n",
-		i, s.callers[i], s.peers[i], strings.Join(s.peers, ","), s.ledger.Address(), config.HashKey(lab.OperatorKey))
+		i, s.callers[i], s.peers[i], strings.Join(s.peers, ","), s.platform.Address(), config.HashKey(lab.OperatorKey))
 	file := filepath.Join(s.t.TempDir(), "router.ini")
 	if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
 		s.t.Fatal(err)
@@ -285,7 +285,7 @@
 			t.Errorf("%v: exit code %d, want %d, with %q in:\n%s", tt.args, code, tt.code, tt.want, out)
 		}
 	}
-	s.ledger.SetFaults(standin.PlatformFaults{Down: true})
+	s.platform.SetFaults(standin.PlatformFaults{Down: true})
 	if out, code := s.run("label", "customer", "hanover", "weight=4"); code != 1 || !strings.Contains(out, "platform") {
 		t.Errorf("change with the platform down: exit code %d\n%s", code, out)
 	}
--- /dev/null
+++ b/gateway/gateway.go
@@ -0,0 +1,345 @@
+package gateway
+
+// This file defines Gateway: its construction, its tree of parts, and its stop.
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"runtime/debug"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/rs/zerolog"
+	"github.com/samber/oops"
+	"github.com/uber-go/tally/v4"
+	promreporter "github.com/uber-go/tally/v4/prometheus"
+	"github.com/valyala/fasthttp"
+	"github.com/valyala/fasthttp/fasthttpadaptor"
+
+	"bulrushtally/follow"
+	"bulrushtally/gossip"
+	"bulrushtally/ingress"
+	"bulrushtally/placement"
+	"bulrushtally/platform"
+	"bulrushtally/route"
+	"bulrushtally/settings"
+	"bulrushtally/supervise"
+	"bulrushtally/upstream"
+)
+
+// Timing of a gateway.
+const (
+	configWait      = 1000 * time.Millisecond // a call for changes proves the configuration this often
+	serversWait     = 1500 * time.Millisecond
+	storeTimeout    = 700 * time.Millisecond
+	leaseMargin     = 600 * time.Millisecond // of a key's time, for clocks and requests on their way
+	dispatchPeriod  = 8 * time.Millisecond
+	cleanPeriod     = 500 * time.Millisecond
+	metricsPeriod   = 5 * time.Second
+	registerTimeout = time.Second
+	registerPause   = 300 * time.Millisecond
+	exitMargin      = 700 * time.Millisecond // before the platform ends the process
+	boundShare      = 0.85                   // of a bound over the fleet that is used
+	memoryPart      = 0.6                    // of the memory limit from which the collector works harder
+)
+
+// Gateway is one router.
+type Gateway struct {
+	settings *settings.Gateway
+	logger   zerolog.Logger
+	metrics  tally.Scope
+	closer   io.Closer
+
+	store    *platform.Store
+	view     *route.View
+	place    *placement.Placement
+	upstream *upstream.Pool
+	suspects *suspects
+	servers  *serverTable
+	follower struct{ operator, servers *follow.Follower }
+	gossip   *gossip.Gossip
+	ingress  *ingress.Server
+	ready    *fasthttp.Server
+	readyOn  net.Listener
+	scrape   fasthttp.RequestHandler
+
+	incarnation uint64
+	leaving     atomic.Bool
+	done        chan struct{}
+}
+
+// New returns a gateway that listens but does not serve yet.
+func New(s *settings.Gateway, logger zerolog.Logger) (*Gateway, error) {
+	debug.SetMemoryLimit(int64(memoryPart * float64(s.MemoryMB) * (1 << 20)))
+	g := &Gateway{
+		settings: s, logger: logger.With().Str("vm", s.VM).Logger(), done: make(chan struct{}),
+		store: platform.NewStore(s.StoreAddress), view: route.NewView(), suspects: newSuspects(),
+		incarnation: uint64(time.Now().UnixNano()),
+	}
+	g.startMetrics()
+	if err := g.build(); err != nil {
+		g.closer.Close()
+		return nil, oops.In("gateway").With("vm", s.VM).Wrap(err)
+	}
+	return g, nil
+}
+
+func (g *Gateway) startMetrics() {
+	registry := prometheus.NewRegistry()
+	reporter := promreporter.NewReporter(promreporter.Options{
+		Registerer: registry, Gatherer: registry,
+		OnRegisterError: func(err error) { g.logger.Warn().Err(err).Msg("metric-not-registered") },
+	})
+	g.metrics, g.closer = tally.NewRootScope(tally.ScopeOptions{
+		Prefix: "bulrushtally", CachedReporter: reporter, Separator: promreporter.DefaultSeparator,
+	}, metricsPeriod)
+	g.scrape = fasthttpadaptor.NewFastHTTPHandler(reporter.HTTPHandler())
+}
+
+func (g *Gateway) build() error {
+	s := g.settings
+	g.place = placement.New(placement.Options{Zone: s.Zone, Bounds: g.bounds(s), Routers: s.SpareRouters + 1, Now: time.Now()})
+	g.upstream = upstream.NewPool(upstream.DefaultOptions, s.IP)
+	operator := &operatorTable{view: g.view, place: g.place, logger: g.logger, out: map[string]bool{}}
+	g.follower.operator = g.follow(platform.OperatorTable, operator, configWait)
+	g.servers = &serverTable{place: g.place, trouble: g.troubled, logger: g.logger, missing: map[string]time.Time{}}
+	g.follower.servers = g.follow(platform.ServerTable, g.servers, serversWait)
+	var err error
+	if g.gossip, err = gossip.New(s.VM, net.JoinHostPort(s.IP, strconv.Itoa(s.PeerPort)), g, g.logger); err != nil {
+		return err
+	}
+	flow := ingress.NewFlow(ingress.Options{
+		Dialect: platform.Dialect(), View: g.view, Place: g.place, Upstream: g.upstream, Suspects: g.suspects,
+		Clock: boottime, Lease: s.Revoke - leaseMargin, Settle: s.ConfigApply, Logger: g.logger, Metrics: g.metrics,
+	})
+	if g.ingress, err = ingress.NewServer(s.Listen, flow, g.logger); err != nil {
+		return err
+	}
+	g.ready = &fasthttp.Server{Handler: g.answer, Logger: printer{g.logger}, NoDefaultServerHeader: true}
+	g.readyOn, err = net.Listen("tcp4", s.ReadyListen)
+	return err
+}
+
+type printer struct{ zerolog.Logger }
+
+// Printf logs what a library says.
+func (p printer) Printf(format string, args ...any) { p.Debug().Msgf(format, args...) }
+
+func (g *Gateway) bounds(s *settings.Gateway) placement.Bounds {
+	return placement.Bounds{
+		RetryRatio: s.RetryRatio, RetryWindow: s.RetryWindow, RetrySlack: s.RetrySlack,
+		ColdOver: s.ColdOver, ColdSlack: s.ColdSlack, Share: boundShare,
+	}
+}
+
+func (g *Gateway) follow(table string, t follow.Table, wait time.Duration) *follow.Follower {
+	return follow.New(follow.Options{
+		Name: table, Source: g.store, Table: t, Wait: wait, Timeout: storeTimeout, Clock: boottime, Logger: g.logger,
+	})
+}
+
+// troubled reports whether the store was in trouble lately.
+func (g *Gateway) troubled() bool {
+	now := boottime()
+	return now-g.follower.servers.FailedAt() < g.settings.Contact || now-g.follower.operator.FailedAt() < g.settings.Contact
+}
+
+// Address returns the address that callers reach.
+func (g *Gateway) Address() string { return g.ingress.Address() }
+
+// ReadyAddress returns the address that the balancer asks.
+func (g *Gateway) ReadyAddress() string { return g.readyOn.Addr().String() }
+
+// Done returns a channel that is closed when the gateway has stopped.
+func (g *Gateway) Done() <-chan struct{} { return g.done }
+
+// Ready reports whether the router takes new connections: it knows the
+// configuration and backend servers, can prove keys, and does not leave.
+func (g *Gateway) Ready() bool {
+	t, age, proven := g.view.Age(boottime())
+	return !g.leaving.Load() && t != nil && proven && age < g.settings.Revoke-leaseMargin && g.servers.ready()
+}
+
+// answer answers the balancer.
+func (g *Gateway) answer(c *fasthttp.RequestCtx) {
+	if string(c.Path()) != platform.ReadyPath {
+		c.Error("the balancer asks at "+platform.ReadyPath, http.StatusNotFound)
+		return
+	}
+	if !g.Ready() {
+		c.SetStatusCode(http.StatusServiceUnavailable)
+	}
+}
+
+// Run serves until the context ends, then stops: no new connections, requests in
+// flight end, then the parts.
+func (g *Gateway) Run(ctx context.Context) error {
+	defer close(g.done)
+	defer g.closer.Close()
+	root := supervise.New("gateway", g.logger)
+	links := root.Subtree("links")
+	links.Go("operator", g.follower.operator.Run)
+	links.Go("servers", g.follower.servers.Run)
+	links.Go("gossip", g.gossip.Run)
+	links.Go("register", g.register)
+	links.Go("dispatch", g.dispatch)
+	links.Go("clean", g.clean)
+	links.Go("metrics", g.serveMetrics)
+	go g.ready.Serve(g.readyOn)
+	serving := root.Subtree("serving")
+	serving.Go("callers", g.ingress.Run)
+	g.logger.Info().Str("listen", g.Address()).Str("zone", g.settings.Zone).Msg("started")
+	<-ctx.Done()
+	return g.stop(root)
+}
+
+// StopError says that requests were still in flight when the time to stop was over.
+type StopError struct{ InFlight int }
+
+// Error describes what was cut off and the remedy.
+func (e *StopError) Error() string {
+	return fmt.Sprintf("%d requests in flight were cut off; raise the platform's time between SIGTERM and SIGKILL", e.InFlight)
+}
+
+func (g *Gateway) stop(root *supervise.Tree) error {
+	g.leaving.Store(true)
+	g.logger.Info().Int("in_flight", g.ingress.InFlight()).Msg("stopping")
+	stopped := make(chan struct{})
+	go func() {
+		root.Stop()
+		close(stopped)
+	}()
+	select {
+	case <-stopped:
+		g.logger.Info().Msg("stopped")
+		return nil
+	case <-time.After(g.settings.Grace - exitMargin):
+		return &StopError{g.ingress.InFlight()}
+	}
+}
+
+// register writes this router's address to the store and reads those of the others.
+func (g *Gateway) register(ctx context.Context) error {
+	written := false
+	for ctx.Err() == nil {
+		var err error
+		if !written {
+			err = g.store.Put(platform.RouterTable, g.settings.VM, []byte(g.gossip.Address()), registerTimeout)
+			written = err == nil
+		}
+		if written {
+			if err = g.readRouters(); err == nil {
+				return nil
+			}
+		}
+		g.logger.Warn().Err(err).Msg("not-registered")
+		select {
+		case <-ctx.Done():
+		case <-time.After(registerPause):
+		}
+	}
+	return nil
+}
+
+func (g *Gateway) readRouters() error {
+	b, err := g.store.Rows(platform.RouterTable, registerTimeout)
+	if err != nil {
+		return err
+	}
+	for _, r := range b.Rows {
+		g.gossip.Add(string(r.Value))
+	}
+	return nil
+}
+
+func (g *Gateway) dispatch(ctx context.Context) error {
+	t := time.NewTicker(dispatchPeriod)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case now := <-t.C:
+			g.place.Tick(now)
+		}
+	}
+}
+
+func (g *Gateway) clean(ctx context.Context) error {
+	t := time.NewTicker(cleanPeriod)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			g.upstream.Close()
+			return nil
+		case now := <-t.C:
+			g.servers.expire(now)
+			g.upstream.Trim(now)
+		}
+	}
+}
+
+func (g *Gateway) serveMetrics(ctx context.Context) error {
+	if g.settings.MetricsListen == "" {
+		return nil
+	}
+	ln, err := net.Listen("tcp4", g.settings.MetricsListen)
+	if err != nil {
+		return err
+	}
+	s := &fasthttp.Server{Handler: g.scrape, Logger: printer{g.logger}}
+	stop := context.AfterFunc(ctx, func() { ln.Close() })
+	defer stop()
+	if err := s.Serve(ln); err != nil && !errors.Is(err, net.ErrClosed) && ctx.Err() == nil {
+		return err
+	}
+	return nil
+}
+
+var _ gossip.Handler = (*Gateway)(nil)
+
+// Summary returns what this router tells others of itself.
+func (g *Gateway) Summary() *placement.Summary {
+	m := &placement.Summary{
+		Router: g.settings.VM, Incarnation: g.incarnation, Zone: g.settings.Zone, Address: g.gossip.Address(),
+		Leaving: g.leaving.Load(), Crashes: g.suspects.tell(),
+	}
+	if t, age, proven := g.view.Age(boottime()); t != nil {
+		m.Version = t.Version()
+		if proven {
+			m.ProofAge = uint64(max(time.Millisecond, age).Milliseconds())
+		}
+	}
+	g.place.Fill(time.Now(), m)
+	return m
+}
+
+// proofDelay is how long a summary may have been on its way without a proof in it
+// being taken for younger than it is.
+const proofDelay = 300 * time.Millisecond
+
+// Heard takes in what another router says of itself.
+func (g *Gateway) Heard(m *placement.Summary) {
+	now := time.Now()
+	if m.ProofAge > 0 {
+		age := time.Duration(m.ProofAge)*time.Millisecond + proofDelay
+		g.view.Prove(m.Version, boottime()-age)
+	}
+	g.suspects.heard(now, m.Crashes)
+	g.place.Heard(now, m)
+}
+
+// Routers takes in how many routers there are.
+func (g *Gateway) Routers(_, known, rank int) {
+	g.place.Routers(known+g.settings.SpareRouters, rank)
+}
+
+// Silent takes in that another router is silent.
+func (g *Gateway) Silent(name string) { g.place.Forget(name) }
--- a/lab/chaos.go
+++ b/lab/chaos.go
@@ -104,8 +104,8 @@
 	s.swap(i, n)
 }
 
-// ledger is what callers of the plain service were told.
-type ledger struct {
+// callRecord holds what callers of the plain service were told.
+type callRecord struct {
 	mu    sync.Mutex
 	calls map[string]Result
 }
@@ -121,7 +121,7 @@
 	defer s.Close()
 	r := &Report{}
 	l := NewLoad(s, o.Customers, e.Seed)
-	book := &ledger{calls: map[string]Result{}}
+	book := &callRecord{calls: map[string]Result{}}
 	good := map[string][]float64{}
 	err = under(l, zoneGroups(o.Customers, len(s.Addresses())), func(ctx context.Context) error {
 		var g conc.WaitGroup
@@ -187,7 +187,7 @@
 
 // plainCaller makes calls that may not be repeated, half of them with a key; a
 // call with a key whose end is unknown is asked for again.
-func (s *System) plainCaller(ctx context.Context, b *ledger, k int) {
+func (s *System) plainCaller(ctx context.Context, b *callRecord, k int) {
 	c := NewClient()
 	for ctx.Err() == nil {
 		call := fmt.Sprintf("call-%d-", callNumbers.Add(1))
@@ -207,7 +207,7 @@
 }
 
 // judge compares what callers were told with what the services recorded.
-func (b *ledger) judge(s *System, r *Report) {
+func (b *callRecord) judge(s *System, r *Report) {
 	ran := map[string]int{}
 	for _, p := range s.Plains {
 		for call, n := range p.Ran() {
--- /dev/null
+++ b/placement/grant.go
@@ -0,0 +1,142 @@
+package placement
+
+// This file defines Grant, a request's place at a backend server, and how it ends.
+
+import "time"
+
+// Outcome says how an attempt ended.
+type Outcome uint8
+
+// The outcomes of an attempt.
+const (
+	Done        Outcome = iota // a whole answer
+	Failed                     // an answer that tells of a fault of the server
+	Broken                     // the connection broke, or the answer was none
+	Unreachable                // no connection; it has not run
+	Declined                   // the server says that it has not run the request
+	GivenUp                    // by the client, or its time was over
+	Silent                     // no answer in all the time that there was
+)
+
+// Grant is a request's place at a backend server. Exactly one of End and Unsent must be called.
+type Grant struct {
+	placement *Placement
+	server    *server
+	ask       *Ask
+	customer  *customer
+	id        string
+	address   string
+	sentAt    time.Time
+	unread    int
+	expected  time.Duration // to the first event
+	read      float64       // milliseconds of reading in that
+	began     bool
+	over      bool
+}
+
+// ID returns the backend server's name.
+func (g *Grant) ID() string { return g.id }
+
+// Address returns the backend server's IP number and port.
+func (g *Grant) Address() string { return g.address }
+
+// Expected returns the time in which the first event was expected.
+func (g *Grant) Expected() time.Duration { return g.expected }
+
+// Unread returns the prompt tokens that the server was expected to read.
+func (g *Grant) Unread() int { return g.unread }
+
+// First takes in that the first event, or the answer, has come.
+func (g *Grant) First(now time.Time) {
+	p := g.placement
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if g.began || g.over {
+		return
+	}
+	g.began = true
+	s := g.server
+	s.reading--
+	s.answered(now)
+	if g.ask.Prompt > 0 {
+		s.pool.observe(s, g.expected, now.Sub(g.sentAt), g.read)
+		if s.reading == 0 && s.busyUntil.After(now) {
+			s.busyUntil = now.Add(s.busyUntil.Sub(now) / 2)
+		}
+	}
+	p.dispatch(now, s.pool)
+}
+
+// End takes in how the attempt ended, and reports whether the server was taken out for it.
+func (g *Grant) End(now time.Time, o Outcome) (ejected bool) {
+	p := g.placement
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if g.over {
+		return false
+	}
+	g.leave()
+	s := g.server
+	switch o {
+	case Done:
+		s.answered(now)
+		s.judge(now, false)
+	case Failed, Silent:
+		ejected = s.judge(now, true)
+	case Broken:
+		s.failed(now)
+		s.judge(now, true)
+	case Unreachable:
+		g.refund(now)
+		s.failed(now)
+	case Declined:
+		g.refund(now)
+		s.busyUntil = maxTime(s.busyUntil, now.Add(declinePause))
+		ejected = s.judge(now, true)
+	}
+	p.dispatch(now, s.pool)
+	return ejected
+}
+
+// declinePause is how long a server that declined a request is taken to be busy.
+const declinePause = 100 * time.Millisecond
+
+func maxTime(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
+// Unsent takes in that the request was not sent after all.
+func (g *Grant) Unsent(now time.Time) {
+	p := g.placement
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if g.over {
+		return
+	}
+	g.leave()
+	g.refund(now)
+	p.dispatch(now, g.server.pool)
+}
+
+func (g *Grant) leave() {
+	g.over = true
+	s := g.server
+	s.running--
+	if !g.began {
+		s.reading--
+	}
+	s.tokens -= g.ask.Prompt + g.ask.Output
+}
+
+// refund takes back what was charged for a request that did not run.
+func (g *Grant) refund(now time.Time) {
+	if g.ask.Prompt == 0 {
+		return
+	}
+	g.customer.served.add(g.placement.shares.slot(now), -g.ask.cost())
+	s := g.server
+	s.busyUntil = s.busyUntil.Add(-s.readTime(g.unread))
+}
--- /dev/null
+++ b/placement/server.go
@@ -0,0 +1,154 @@
+package placement
+
+// This file defines server, what a router believes of one backend server.
+
+import (
+	"time"
+)
+
+// Entry is what the platform lists of a backend server.
+type Entry struct {
+	ID       string
+	Service  string
+	Address  string // IP number and port
+	Zone     string
+	Slots    int
+	Draining bool
+	Cold     time.Duration // how much longer it bears only little
+	Born     int64         // start, in Unix milliseconds; 0 if unknown
+}
+
+// Bounds of what a router learns of one backend server.
+const (
+	minPace, maxPace  = 0.5, 12.0
+	paceGain          = 0.15 // of one observation
+	errorGain         = 0.12
+	firstPause        = 250 * time.Millisecond // after a failed connection
+	longPause         = 2 * time.Second
+	ejectPause        = 2500 * time.Millisecond // for failing far more often than its peers
+	ejectRate         = 0.35
+	ejectSamples      = 8
+	remoteStatsExpire = 3 * time.Second // another router's counts without news
+)
+
+// server is one backend server.
+//
+// Invariants: running and tokens are what this router has in flight there.
+// busyUntil is when the server will have read all prompts sent to it, by this
+// router's model; it never lies before the last time it was moved.
+type server struct {
+	Entry
+	pool      *pool
+	listed    bool // the platform lists it
+	coldUntil time.Time
+	downUntil time.Time
+	failures  int // in a row
+	warming   bool
+
+	busyUntil time.Time
+	pace      float64 // time that reading takes over what the model says
+	running   int
+	reading   int // of those running, without a first event
+	tokens    int
+	remote    map[string]remoteLoad // by router
+
+	parts     *partCache
+	errorRate float64
+	samples   int
+	coldSent  window
+
+	sent uint64 // unread tokens sent by this router in all, told to other routers
+}
+
+// remoteLoad is what another router last said of one backend server.
+type remoteLoad struct {
+	running, tokens int
+	at              time.Time
+}
+
+func newServer(p *pool, e Entry) *server {
+	return &server{Entry: e, pool: p, listed: true, pace: 1, remote: map[string]remoteLoad{}, parts: newPartCache(p.partTokens())}
+}
+
+// load returns requests in flight and tokens held, other routers' included.
+func (s *server) load(now time.Time) (running, tokens int) {
+	running, tokens = s.running, s.tokens
+	for _, r := range s.remote {
+		if now.Sub(r.at) < remoteStatsExpire {
+			running += r.running
+			tokens += r.tokens
+		}
+	}
+	return running, tokens
+}
+
+// wait returns the time until all prompts sent to the server are read.
+func (s *server) wait(now time.Time) time.Duration {
+	return max(0, s.busyUntil.Sub(now))
+}
+
+// push adds unread tokens to what the server has to read.
+func (s *server) push(now time.Time, tokens int) {
+	if s.busyUntil.Before(now) {
+		s.busyUntil = now
+	}
+	s.busyUntil = s.busyUntil.Add(s.readTime(tokens))
+}
+
+// readTime returns how long the server takes to read tokens.
+func (s *server) readTime(tokens int) time.Duration {
+	return time.Duration(float64(tokens) * s.pool.perToken * s.pace * float64(time.Millisecond))
+}
+
+// usable reports whether new requests may be sent to the server.
+func (s *server) usable(now time.Time) bool {
+	return s.listed && !s.Draining && !s.pool.placement.evacuated[s.Zone] && now.After(s.downUntil)
+}
+
+// failed takes in that the server could not be reached or broke off.
+func (s *server) failed(now time.Time) {
+	s.failures++
+	pause := min(longPause, firstPause<<min(s.failures-1, 4))
+	s.downUntil = now.Add(pause)
+	s.warming = true // when it is back it may have started anew
+}
+
+// answered takes in that the server answered at all.
+func (s *server) answered(now time.Time) {
+	s.failures = 0
+	if s.warming {
+		s.warming = false
+		s.chill(now, s.pool.service.Cold)
+	}
+}
+
+// chill makes the server count as cold for a time from now on.
+func (s *server) chill(now time.Time, d time.Duration) {
+	if t := now.Add(d); t.After(s.coldUntil) {
+		s.coldUntil = t
+	}
+}
+
+// cold reports whether the server bears only a bounded rate of requests.
+func (s *server) cold(now time.Time) bool {
+	return s.pool.service.ColdPerSecond > 0 && (s.warming || now.Before(s.coldUntil))
+}
+
+// judge takes in an outcome and takes the server out for a time if it fails far more often than its peers.
+func (s *server) judge(now time.Time, failed bool) (ejected bool) {
+	value := 0.0
+	if failed {
+		value = 1
+	}
+	s.errorRate += errorGain * (value - s.errorRate)
+	s.samples++
+	if !failed || s.samples < ejectSamples || s.errorRate < ejectRate {
+		return false
+	}
+	if s.errorRate < 2.5*s.pool.peersErrorRate(s)+0.1 {
+		return false
+	}
+	s.downUntil = now.Add(ejectPause)
+	s.errorRate, s.samples = ejectRate/2, ejectSamples/2
+	return true
+}
--- /dev/null
+++ b/placement/summary.go
@@ -0,0 +1,129 @@
+package placement
+
+// This file defines Summary, what routers tell each other.
+
+import "time"
+
+// Load is what a router has in flight at one backend server.
+type Load struct {
+	_       struct{} `cbor:",toarray"`
+	Server  string
+	Running int
+	Tokens  int
+	Sent    uint64 // unread tokens sent so far, a sum since the router started
+	Down    bool   // the router could not reach it lately
+}
+
+// Service is what a customer asked for and got at a router, as sums since the router started.
+type Service struct {
+	_             struct{} `cbor:",toarray"`
+	Customer      string
+	Asked, Served uint64
+}
+
+// Summary is what a router tells others about itself. It holds sums, so what is
+// lost is made good by the next one and what comes twice adds nothing.
+type Summary struct {
+	_           struct{} `cbor:",toarray"`
+	Router      string
+	Incarnation uint64
+	Zone        string
+	Address     string // for summaries to it
+	Leaving     bool
+	Version     uint64 // of the configuration
+	ProofAge    uint64 // milliseconds since it was proven the newest; 0 if it was not
+	Loads       []Load
+	Services    []Service
+	Crashes     []Crash
+}
+
+// Crash is a request that was running when its backend server broke off.
+type Crash struct {
+	_      struct{} `cbor:",toarray"`
+	Digest uint64
+	Count  int
+}
+
+// peerSums is what another router last said.
+type peerSums struct {
+	incarnation uint64
+	sent        map[string]uint64
+	asked       map[string]uint64
+	served      map[string]uint64
+}
+
+// Fill adds what this router's placement tells others to a summary.
+func (p *Placement) Fill(now time.Time, m *Summary) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for id, s := range p.servers {
+		if s.sent > 0 || s.running > 0 || s.failures > 0 {
+			m.Loads = append(m.Loads, Load{Server: id, Running: s.running, Tokens: s.tokens, Sent: s.sent, Down: s.failures > 1})
+		}
+	}
+	for name, c := range p.shares.customers {
+		if c.askedSum > 0 {
+			m.Services = append(m.Services, Service{Customer: name, Asked: c.askedSum, Served: c.servedSum})
+		}
+	}
+}
+
+// Heard takes in what another router says of its own requests.
+func (p *Placement) Heard(now time.Time, m *Summary) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	old := p.peers[m.Router]
+	if old == nil || old.incarnation != m.Incarnation {
+		old = &peerSums{incarnation: m.Incarnation, sent: map[string]uint64{}, asked: map[string]uint64{}, served: map[string]uint64{}}
+		p.peers[m.Router] = old
+		for _, s := range p.servers {
+			delete(s.remote, m.Router)
+		}
+	}
+	for _, l := range m.Loads {
+		p.heardLoad(now, old, m.Router, l)
+	}
+	slot := p.shares.slot(now)
+	for _, s := range m.Services {
+		c := p.shares.customer(s.Customer)
+		c.asked.add(slot, increase(old.asked, s.Customer, s.Asked))
+		c.served.add(slot, increase(old.served, s.Customer, s.Served))
+	}
+	for _, pl := range p.pools {
+		p.dispatch(now, pl)
+	}
+}
+
+func (p *Placement) heardLoad(now time.Time, old *peerSums, from string, l Load) {
+	s := p.servers[l.Server]
+	if s == nil {
+		return
+	}
+	s.remote[from] = remoteLoad{running: l.Running, tokens: l.Tokens, at: now}
+	if more := increase(old.sent, l.Server, l.Sent); more > 0 {
+		s.push(now, int(more))
+	}
+	if l.Down && s.failures == 0 && !s.cold(now) {
+		s.warming = true // it may have started anew
+	}
+}
+
+// increase returns by how much a sum grew since it was last heard; the first time counts as nothing.
+func increase(sums map[string]uint64, name string, sum uint64) float64 {
+	old, known := sums[name]
+	sums[name] = max(old, sum)
+	if !known || sum < old {
+		return 0
+	}
+	return float64(sum - old)
+}
+
+// Forget drops what a router said that is gone.
+func (p *Placement) Forget(router string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	delete(p.peers, router)
+	for _, s := range p.servers {
+		delete(s.remote, router)
+	}
+}
