Engines by pressure: bounded reading within a pause; homes for shared parts; a server's pace decays

Cause: streams were late by their pauses, not their first event (first event p90 150 ms, pause p75 413 ms): prompts read between steps of running streams. Then one router learned paces that excluded servers for good and refused half of what it got.

--- a/ingress/flow.go
+++ b/ingress/flow.go
@@ -194,7 +194,7 @@
 	}
 	x.ask = &placement.Ask{
 		Service: x.service.Name, Priority: x.route.Priority,
-		Within: x.route.Objective, Objective: x.arrived.Add(x.route.Objective - elapsed), Deadline: x.deadline,
+		Within: x.route.Objective, Pause: x.route.GapObjective, Objective: x.arrived.Add(x.route.Objective - elapsed), Deadline: x.deadline,
 		Late: elapsed > x.route.Objective,
 	}
 	if x.customer != nil {
--- a/placement/grant.go
+++ b/placement/grant.go
@@ -28,8 +28,9 @@
 	address   string
 	sentAt    time.Time
 	unread    int
+	effort    float64       // tokens that this is worth
+	ahead     float64       // tokens that the server had to read before
 	expected  time.Duration // to the first event
-	read      float64       // milliseconds of reading in that
 	began     bool
 	over      bool
 }
@@ -59,7 +60,7 @@
 	s.reading--
 	s.answered(now)
 	if g.ask.Prompt > 0 {
-		s.pool.observe(s, g.expected, now.Sub(g.sentAt), g.read)
+		s.pool.observe(now, s, g.ahead+g.effort, g.expected, now.Sub(g.sentAt))
 		if s.reading == 0 && s.busyUntil.After(now) {
 			s.busyUntil = now.Add(s.busyUntil.Sub(now) / 2)
 		}
@@ -91,7 +92,7 @@
 		s.failed(now)
 	case Declined:
 		g.refund(now)
-		s.busyUntil = maxTime(s.busyUntil, now.Add(declinePause))
+		s.busyUntil = later(s.busyUntil, now.Add(declinePause))
 		ejected = s.judge(now, true)
 	}
 	p.dispatch(now, s.pool)
@@ -101,13 +102,6 @@
 // declinePause is how long a server that declined a request is taken to be busy.
 const declinePause = 100 * time.Millisecond
 
-func maxTime(a, b time.Time) time.Time {
-	if a.After(b) {
-		return a
-	}
-	return b
-}
-
 // Unsent takes in that the request was not sent after all.
 func (g *Grant) Unsent(now time.Time) {
 	p := g.placement
@@ -138,5 +132,5 @@
 	}
 	g.customer.served.add(g.placement.shares.slot(now), -g.ask.cost())
 	s := g.server
-	s.busyUntil = s.busyUntil.Add(-s.readTime(g.unread))
+	s.busyUntil = s.busyUntil.Add(-s.readTime(g.effort))
 }
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -22,6 +22,7 @@
 	Output    int // tokens, as far as known
 	Parts     []Part
 	Within    time.Duration // objective of the route
+	Pause     time.Duration // longest pause between events that is in time, 0 if there is none
 	Objective time.Time     // by when the first event, or the answer, is in time
 	Deadline  time.Time
 	Late      bool     // the objective passed before the request arrived here
@@ -323,12 +324,15 @@
 // patience returns how long the request may wait here and still be in time.
 func (w *waiter) patience() time.Duration {
 	part := patienceFull
-	if w.over || w.ask.Late {
+	if w.spare() {
 		part = patienceSpare
 	}
 	return min(time.Duration(part*float64(w.ask.Within)), time.Until(w.ask.Deadline))
 }
 
+// spare reports whether the request gets only what nobody else waits for.
+func (w *waiter) spare() bool { return w.over || w.ask.Late }
+
 func (w *waiter) reason() Reason {
 	if w.over {
 		return OverShare
@@ -374,20 +378,19 @@
 
 // try gives a request a server if one may take it now.
 func (p *Placement) try(now time.Time, pl *pool, w *waiter) *Grant {
-	best, ok := pl.choose(now, w.ask, w.over || w.ask.Late)
+	best, ok := pl.choose(now, w)
 	if !ok {
 		return nil
 	}
-	return p.grant(now, best, w)
+	return p.grant(now, pl, best, w)
 }
 
-func (p *Placement) grant(now time.Time, c choice, w *waiter) *Grant {
+func (p *Placement) grant(now time.Time, pl *pool, c choice, w *waiter) *Grant {
 	s, a := c.server, w.ask
 	g := &Grant{
 		placement: p, server: s, ask: a, customer: w.from,
-		id: s.ID, address: s.Address, sentAt: now, unread: c.unread, expected: c.first,
+		id: s.ID, address: s.Address, sentAt: now, unread: c.unread, effort: c.effort, expected: c.first,
 	}
-	g.read = float64(s.wait(now)+s.readTime(c.unread)) / float64(time.Millisecond)
 	s.running++
 	s.reading++
 	s.tokens += a.Prompt + a.Output
@@ -395,8 +398,9 @@
 		s.coldSent.add(now)
 	}
 	if a.Prompt > 0 {
-		s.push(now, c.unread)
-		s.sent += uint64(c.unread)
+		g.ahead = milliseconds(s.wait(now)) / (pl.perToken * s.pace)
+		s.push(now, c.effort)
+		s.sent += uint64(c.effort)
 		s.parts.use(a.Parts)
 		w.from.served.add(p.shares.slot(now), a.cost())
 		w.from.servedSum += uint64(a.cost())
@@ -404,8 +408,8 @@
 	return g
 }
 
-// maxMisses is how many waiting requests in a row may find no server before a dispatch ends.
-const maxMisses = 6
+// maxMisses is how many waiting requests may find no server before a dispatch ends.
+const maxMisses = 32
 
 // dispatch gives servers to waiting requests, in order.
 func (p *Placement) dispatch(now time.Time, pl *pool) {
@@ -425,6 +429,9 @@
 		}
 		return 0
 	})
+	for _, s := range pl.servers {
+		s.claim = nil
+	}
 	misses := 0
 	kept := pl.waiting[:0]
 	for _, w := range pl.waiting {
--- a/placement/pool.go
+++ b/placement/pool.go
@@ -3,11 +3,11 @@
 // This file defines pool, the backend servers of one service, and the choice among them.
 
 import (
+	"cmp"
+	"math"
 	"math/rand/v2"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"bulrushtally/route"
 )
 
@@ -16,27 +16,37 @@
 const (
 	firstPerToken            = 1.0 / 100 // milliseconds
 	minPerToken, maxPerToken = 1.0 / 400, 1.0 / 10
-	perTokenGain             = 0.02
-	firstBase                = 40 * time.Millisecond // time to the first event beyond reading
-	maxBase                  = 200 * time.Millisecond
-	baseFall, baseRise       = 0.2, 0.01
+	firstBase                = 40.0 // milliseconds to the first event beyond reading
+	maxBase                  = 200.0
+	attentionGrowth          = 4.1e-5 // part by which a token takes longer to read for each token before it
+	fitMemory                = 0.998  // weight of an observation after the next one
+	fitSamples               = 20     // observations before they are trusted
 )
 
-// Limits on what waits at one engine: beyond, a request waits at its router.
+// Limits on what one engine is given: beyond, a request waits at its router. An
+// engine reads prompts between the steps of the streams that run there, so
+// reading makes pauses in them: what it reads within the longest pause that is in
+// time is bounded, by pressure.
 const (
-	fullWait      = 0.55 // of the objective, for customers below their share
-	spareWait     = 0.20 // of the objective, for the others
+	fullPressure  = 0.80 // of the longest pause, for customers below their share
+	sparePressure = 0.25 // for the others
+	smoothRate    = 0.75 // part of an engine's time that reading may take
 	memoryShare   = 0.88 // of an engine's memory that running requests may take
-	slotShare     = 1.0
-	spareSlots    = 0.8
-	homeTokens    = 600 // shared tokens from which a prompt has a home among the engines
-	nearBest      = 12 * time.Millisecond
-	farZone       = 3 * time.Millisecond
-	perRunning    = 400 * time.Microsecond // harm of one more stream to those that run
-	rereadFactor  = 1.0                    // reading what another engine holds costs others their time
+	fullSlots     = 1.0
+	spareSlots    = 0.5
+	defaultPause  = 300 * time.Millisecond
 	arrivalMargin = 30 * time.Millisecond
 )
 
+// Costs by which engines are compared, in milliseconds.
+const (
+	rereadCost  = 0.03 // for each shared token that another engine holds
+	runningCost = 0.4  // for each stream whose steps get longer
+	harmCost    = 0.08 // for each stream and millisecond by which its pause may get too long
+	farCost     = 3.0  // for bytes between zones
+	nearBest    = 8.0  // engines whose costs differ by less are the same
+)
+
 // pool is the backend servers of one service.
 type pool struct {
 	placement *Placement
@@ -45,8 +55,9 @@
 	waiting   []*waiter
 	retries   retryBudget
 
-	perToken float64 // milliseconds that an engine reads one token
-	base     time.Duration
+	perToken float64 // milliseconds in which an engine reads one token
+	base     float64 // milliseconds to the first event beyond reading
+	fit      fit
 }
 
 func newPool(p *Placement, s *route.Service) *pool {
@@ -74,22 +85,17 @@
 // home returns the usable server that a prompt's shared parts belong to by
 // rendezvous hashing, so that all routers read them at the same one, or nil.
 func (p *pool) home(now time.Time, parts []Part) *server {
-	tokens := 0
-	key := uint64(0)
-	for _, x := range parts {
-		tokens += x.Tokens
-		key = x.ID
-	}
-	if tokens < homeTokens {
+	if len(parts) == 0 {
 		return nil
 	}
+	key := parts[len(parts)-1].ID
 	var best *server
 	var top uint64
 	for _, s := range p.servers {
 		if !s.usable(now) {
 			continue
 		}
-		if h := mix(key, xxhash.Sum64String(s.ID)); best == nil || h > top {
+		if h := mix(key, s.hash); best == nil || h > top {
 			best, top = s, h
 		}
 	}
@@ -110,55 +116,50 @@
 type choice struct {
 	server *server
 	unread int           // prompt tokens that it has to read
+	effort float64       // tokens that this is worth
 	first  time.Duration // expected time to the first event
-	cost   time.Duration
+	smooth time.Duration // of the time in which the server may read so much
+	cost   float64
 }
 
 // choose returns the best server for a request, or false if none may take it now.
-// Spare limits it to capacity that nobody below its share waits for.
-func (p *pool) choose(now time.Time, a *Ask, spare bool) (choice, bool) {
+func (p *pool) choose(now time.Time, w *waiter) (choice, bool) {
 	if p.service.Engine() {
-		return p.chooseEngine(now, a, spare)
+		return p.chooseEngine(now, w)
 	}
-	return p.choosePlain(now, a, spare)
+	return p.choosePlain(now, w)
 }
 
-func (p *pool) chooseEngine(now time.Time, a *Ask, spare bool) (choice, bool) {
+// chooseEngine returns the engine of the least cost among those that have room. If
+// there is none, the best one is claimed, so that smaller requests do not keep it full.
+func (p *pool) chooseEngine(now time.Time, w *waiter) (choice, bool) {
+	a, spare := w.ask, w.spare()
 	home := p.home(now, a.Parts)
-	left := a.Objective.Sub(now)
-	limit := fullWait
-	slots := slotShare
+	pressure, slots := fullPressure, fullSlots
 	if spare {
-		limit, slots = spareWait, spareSlots
+		pressure, slots = sparePressure, spareSlots
 	}
-	most := time.Duration(limit * float64(a.Within))
-	var best choice
+	pause := cmp.Or(a.Pause, defaultPause)
+	most := time.Duration(pressure * float64(pause))
+	var best, wanted choice
 	found, ties := false, 0
 	for _, s := range p.servers {
-		if !s.usable(now) || a.tried(s.ID) || !p.placement.bears(now, s) {
+		if !s.usable(now) || a.tried(s.ID) || s.claimed(w) || !p.placement.bears(now, s) {
 			continue
 		}
+		s.forget(now)
 		running, tokens := s.load(now)
 		if running >= int(slots*float64(s.slotCount())) || tokens+a.Prompt+a.Output > int(memoryShare*float64(p.service.Memory)) {
 			continue
 		}
-		unread := a.Prompt - s.parts.known(a.Parts)
-		if s == home {
-			unread = min(unread, a.Prompt-a.shared())
-		}
-		wait := s.wait(now)
-		if wait > most {
-			continue
-		}
-		c := choice{server: s, unread: max(1, unread)}
-		c.first = wait + s.readTime(c.unread) + p.base
-		if !a.Late && c.first > left-arrivalMargin && wait > 0 {
+		c := p.weigh(now, a, s, s == home, running, pause)
+		waiting := s.smoothUntil.Sub(now)
+		if waiting > 0 && (waiting+c.smooth > most || !a.Late && c.first > a.Objective.Sub(now)-arrivalMargin) {
+			if wanted.server == nil || c.cost < wanted.cost {
+				wanted = c
+			}
 			continue
 		}
-		c.cost = c.first + time.Duration(rereadFactor*float64(s.readTime(c.unread))) + time.Duration(running)*perRunning
-		if s.Zone != p.placement.zone {
-			c.cost += farZone
-		}
 		switch {
 		case !found || c.cost < best.cost-nearBest:
 			best, found, ties = c, true, 1
@@ -171,10 +172,44 @@
 			}
 		}
 	}
+	if !found && !spare && wanted.server != nil {
+		wanted.server.claim = w
+	}
 	return best, found
 }
 
-func (p *pool) choosePlain(now time.Time, a *Ask, spare bool) (choice, bool) {
+// weigh returns what it takes and costs to send a request to a server.
+func (p *pool) weigh(now time.Time, a *Ask, s *server, home bool, running int, pause time.Duration) choice {
+	known := s.parts.known(a.Parts)
+	if home {
+		known = a.shared()
+	}
+	c := choice{server: s, unread: max(1, a.Prompt-known)}
+	c.effort = effort(a.Prompt, c.unread)
+	read := s.readTime(c.effort)
+	c.first = s.wait(now) + read + time.Duration(p.base*float64(time.Millisecond))
+	c.smooth = time.Duration(float64(read) / smoothRate)
+	over := max(0, s.smoothUntil.Sub(now)) + c.smooth - pause
+	c.cost = milliseconds(c.first) + rereadCost*float64(a.shared()-known) + runningCost*float64(running)
+	if over > 0 {
+		c.cost += harmCost * milliseconds(over) * float64(running)
+	}
+	if s.Zone != p.placement.zone {
+		c.cost += farCost
+	}
+	return c
+}
+
+func milliseconds(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
+
+// effort returns the tokens that reading the last unread tokens of a prompt is
+// worth: attention makes later tokens dearer.
+func effort(prompt, unread int) float64 {
+	return float64(unread) * (1 + attentionGrowth*(float64(prompt)-float64(unread)/2))
+}
+
+func (p *pool) choosePlain(now time.Time, w *waiter) (choice, bool) {
+	a, spare := w.ask, w.spare()
 	var best choice
 	found, ties := false, 0
 	for _, s := range p.servers {
@@ -190,7 +225,7 @@
 			continue
 		}
 		c := choice{server: s}
-		c.cost = time.Duration(float64(running+1)/float64(s.slotCount())*(0.3+s.errorRate)*1000) * time.Millisecond
+		c.cost = float64(running+1) / float64(s.slotCount()) * (0.3 + s.errorRate)
 		switch {
 		case !found || c.cost < best.cost:
 			best, found, ties = c, true, 1
@@ -212,18 +247,36 @@
 }
 
 // observe learns from a first event: how long reading takes, on the whole and at this server.
-func (p *pool) observe(s *server, predicted, took time.Duration, read float64) {
-	if read <= 0 || predicted <= 0 {
-		return
+func (p *pool) observe(now time.Time, s *server, tokens float64, expected, took time.Duration) {
+	p.fit.add(tokens, milliseconds(took))
+	if slope, base, ok := p.fit.line(); ok {
+		p.perToken = min(maxPerToken, max(minPerToken, slope))
+		p.base = min(maxBase, max(0, base))
 	}
-	beyond := took - time.Duration(read*float64(time.Millisecond))
-	if beyond < p.base {
-		p.base += time.Duration(baseFall * float64(beyond-p.base))
-	} else {
-		p.base += time.Duration(baseRise * float64(min(beyond, 2*maxBase)-p.base))
+	ratio := min(maxRatio, max(1/maxRatio, milliseconds(took)/max(milliseconds(expected), 1)))
+	s.paced = now
+	s.pace = min(maxPace, max(minPace, s.pace*math.Pow(ratio, paceGain)))
+}
+
+// fit is a line through observations, of which old ones count less; its zero value has none.
+type fit struct {
+	n, x, y, xx, xy float64
+}
+
+func (f *fit) add(x, y float64) {
+	f.n = f.n*fitMemory + 1
+	f.x = f.x*fitMemory + x
+	f.y = f.y*fitMemory + y
+	f.xx = f.xx*fitMemory + x*x
+	f.xy = f.xy*fitMemory + x*y
+}
+
+// line returns the line of least squares, or false if there are too few observations.
+func (f *fit) line() (slope, base float64, ok bool) {
+	spread := f.n*f.xx - f.x*f.x
+	if f.n < fitSamples || spread <= 0 {
+		return 0, 0, false
 	}
-	p.base = min(maxBase, max(0, p.base))
-	ratio := min(4, max(0.25, float64(took-p.base)/float64(max(predicted-p.base, time.Millisecond))))
-	s.pace = min(maxPace, max(minPace, s.pace*(1+paceGain*(ratio-1))))
-	p.perToken = min(maxPerToken, max(minPerToken, p.perToken*(1+perTokenGain*(ratio-1))))
+	slope = (f.n*f.xy - f.x*f.y) / spread
+	return slope, (f.y - slope*f.x) / f.n, true
 }
--- a/placement/server.go
+++ b/placement/server.go
@@ -4,6 +4,8 @@
 
 import (
 	"time"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 // Entry is what the platform lists of a backend server.
@@ -21,7 +23,9 @@
 // Bounds of what a router learns of one backend server.
 const (
 	minPace, maxPace  = 0.5, 12.0
-	paceGain          = 0.15 // of one observation
+	paceGain          = 0.08            // of one observation
+	maxRatio          = 3.0             // of one observation to what was expected
+	paceMemory        = 3 * time.Second // without observations, after which a server's pace is taken to be that of its peers
 	errorGain         = 0.12
 	firstPause        = 250 * time.Millisecond // after a failed connection
 	longPause         = 2 * time.Second
@@ -38,6 +42,7 @@
 // router's model; it never lies before the last time it was moved.
 type server struct {
 	Entry
+	hash      uint64 // of the ID
 	pool      *pool
 	listed    bool // the platform lists it
 	coldUntil time.Time
@@ -45,12 +50,15 @@
 	failures  int // in a row
 	warming   bool
 
-	busyUntil time.Time
-	pace      float64 // time that reading takes over what the model says
-	running   int
-	reading   int // of those running, without a first event
-	tokens    int
-	remote    map[string]remoteLoad // by router
+	busyUntil   time.Time
+	smoothUntil time.Time // when it may have read all of it without making pauses too long
+	pace        float64   // time that reading takes over what the model says
+	paced       time.Time // last observation of it
+	running     int
+	reading     int // of those running, without a first event
+	tokens      int
+	remote      map[string]remoteLoad // by router
+	claim       *waiter               // the next request for which there was no room
 
 	parts     *partCache
 	errorRate float64
@@ -67,7 +75,7 @@
 }
 
 func newServer(p *pool, e Entry) *server {
-	return &server{Entry: e, pool: p, listed: true, pace: 1, remote: map[string]remoteLoad{}, parts: newPartCache(p.partTokens())}
+	return &server{Entry: e, hash: xxhash.Sum64String(e.ID), pool: p, listed: true, pace: 1, remote: map[string]remoteLoad{}, parts: newPartCache(p.partTokens())}
 }
 
 // load returns requests in flight and tokens held, other routers' included.
@@ -87,17 +95,36 @@
 	return max(0, s.busyUntil.Sub(now))
 }
 
-// push adds unread tokens to what the server has to read.
-func (s *server) push(now time.Time, tokens int) {
-	if s.busyUntil.Before(now) {
-		s.busyUntil = now
+// push adds tokens to what the server has to read.
+func (s *server) push(now time.Time, tokens float64) {
+	read := s.readTime(tokens)
+	s.busyUntil = later(s.busyUntil, now).Add(read)
+	s.smoothUntil = later(s.smoothUntil, now).Add(time.Duration(float64(read) / smoothRate))
+}
+
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
+// forget takes back what was learned of the server's pace long ago, so that one
+// that was slow is tried again.
+func (s *server) forget(now time.Time) {
+	if s.pace > 1 && now.Sub(s.paced) > paceMemory {
+		s.pace, s.paced = max(1, s.pace/2), now
 	}
-	s.busyUntil = s.busyUntil.Add(s.readTime(tokens))
 }
 
 // readTime returns how long the server takes to read tokens.
-func (s *server) readTime(tokens int) time.Duration {
-	return time.Duration(float64(tokens) * s.pool.perToken * s.pace * float64(time.Millisecond))
+func (s *server) readTime(tokens float64) time.Duration {
+	return time.Duration(tokens * s.pool.perToken * s.pace * float64(time.Millisecond))
+}
+
+// claimed reports whether the server is kept for another request that waits for it.
+func (s *server) claimed(w *waiter) bool {
+	return s.claim != nil && s.claim != w && (w.spare() || w.from == s.claim.from || s.claim.since.Before(w.since))
 }
 
 // usable reports whether new requests may be sent to the server.
--- a/placement/summary.go
+++ b/placement/summary.go
@@ -10,7 +10,7 @@
 	Server  string
 	Running int
 	Tokens  int
-	Sent    uint64 // unread tokens sent so far, a sum since the router started
+	Sent    uint64 // tokens sent to be read so far, a sum since the router started
 	Down    bool   // the router could not reach it lately
 }
 
@@ -101,7 +101,7 @@
 	}
 	s.remote[from] = remoteLoad{running: l.Running, tokens: l.Tokens, at: now}
 	if more := increase(old.sent, l.Server, l.Sent); more > 0 {
-		s.push(now, int(more))
+		s.push(now, more)
 	}
 	if l.Down && s.failures == 0 && !s.cold(now) {
 		s.warming = true // it may have started anew
