--- a/placement/pool.go
+++ b/placement/pool.go
@@ -25,22 +25,22 @@
 
 // Limits on what one engine is given: beyond, a request waits at its router. An
 // engine reads prompts between the steps of the streams that run there, so
-// reading makes pauses in them: what it reads within the longest pause that is in
-// time is bounded, by pressure.
+// reading makes pauses in them: what it is given to read within the longest pause
+// that is in time is bounded to a part of that.
 const (
-	fullPressure  = 0.80 // of the longest pause, for customers below their share
-	sparePressure = 0.25 // for the others
-	smoothRate    = 0.75 // part of an engine's time that reading may take
-	memoryShare   = 0.88 // of an engine's memory that running requests may take
+	fullReading   = 0.80 // for customers below their share
+	spareReading  = 0.45 // for the others
+	aloneReading  = 0.10 // up to this, a prompt that is longer than the bound may be read too
+	memoryShare   = 0.70 // of an engine's memory that running requests may take; the rest keeps shared parts
 	fullSlots     = 1.0
-	spareSlots    = 0.5
+	spareSlots    = 0.7
 	defaultPause  = 300 * time.Millisecond
 	arrivalMargin = 30 * time.Millisecond
 )
 
 // Costs by which engines are compared, in milliseconds.
 const (
-	rereadCost  = 0.03 // for each shared token that another engine holds
+	rereadCost  = 0.05 // for each shared token that another engine holds
 	runningCost = 0.4  // for each stream whose steps get longer
 	harmCost    = 0.08 // for each stream and millisecond by which its pause may get too long
 	farCost     = 3.0  // for bytes between zones
@@ -118,7 +118,7 @@
 	unread int           // prompt tokens that it has to read
 	effort float64       // tokens that this is worth
 	first  time.Duration // expected time to the first event
-	smooth time.Duration // of the time in which the server may read so much
+	read   float64       // milliseconds of reading
 	cost   float64
 }
 
@@ -135,12 +135,11 @@
 func (p *pool) chooseEngine(now time.Time, w *waiter) (choice, bool) {
 	a, spare := w.ask, w.spare()
 	home := p.home(now, a.Parts)
-	pressure, slots := fullPressure, fullSlots
+	reading, slots := fullReading, fullSlots
 	if spare {
-		pressure, slots = sparePressure, spareSlots
+		reading, slots = spareReading, spareSlots
 	}
-	pause := cmp.Or(a.Pause, defaultPause)
-	most := time.Duration(pressure * float64(pause))
+	pause := milliseconds(cmp.Or(a.Pause, defaultPause))
 	var best, wanted choice
 	found, ties := false, 0
 	for _, s := range p.servers {
@@ -152,9 +151,14 @@
 		if running >= int(slots*float64(s.slotCount())) || tokens+a.Prompt+a.Output > int(memoryShare*float64(p.service.Memory)) {
 			continue
 		}
-		c := p.weigh(now, a, s, s == home, running, pause)
-		waiting := s.smoothUntil.Sub(now)
-		if waiting > 0 && (waiting+c.smooth > most || !a.Late && c.first > a.Objective.Sub(now)-arrivalMargin) {
+		recent := s.recent.sum(now, pause)
+		c := p.weigh(now, a, s, s == home, running)
+		over := recent + c.read - fullReading*pause
+		if over > 0 {
+			c.cost += harmCost * over * float64(running)
+		}
+		inTime := a.Late || c.first <= a.Objective.Sub(now)-arrivalMargin || s.wait(now) == 0
+		if recent > aloneReading*pause && recent+c.read > reading*pause || !inTime {
 			if wanted.server == nil || c.cost < wanted.cost {
 				wanted = c
 			}
@@ -179,7 +183,7 @@
 }
 
 // weigh returns what it takes and costs to send a request to a server.
-func (p *pool) weigh(now time.Time, a *Ask, s *server, home bool, running int, pause time.Duration) choice {
+func (p *pool) weigh(now time.Time, a *Ask, s *server, home bool, running int) choice {
 	known := s.parts.known(a.Parts)
 	if home {
 		known = a.shared()
@@ -187,13 +191,9 @@
 	c := choice{server: s, unread: max(1, a.Prompt-known)}
 	c.effort = effort(a.Prompt, c.unread)
 	read := s.readTime(c.effort)
+	c.read = milliseconds(read)
 	c.first = s.wait(now) + read + time.Duration(p.base*float64(time.Millisecond))
-	c.smooth = time.Duration(float64(read) / smoothRate)
-	over := max(0, s.smoothUntil.Sub(now)) + c.smooth - pause
 	c.cost = milliseconds(c.first) + rereadCost*float64(a.shared()-known) + runningCost*float64(running)
-	if over > 0 {
-		c.cost += harmCost * milliseconds(over) * float64(running)
-	}
 	if s.Zone != p.placement.zone {
 		c.cost += farCost
 	}
--- a/placement/server.go
+++ b/placement/server.go
@@ -50,15 +50,15 @@
 	failures  int // in a row
 	warming   bool
 
-	busyUntil   time.Time
-	smoothUntil time.Time // when it may have read all of it without making pauses too long
-	pace        float64   // time that reading takes over what the model says
-	paced       time.Time // last observation of it
-	running     int
-	reading     int // of those running, without a first event
-	tokens      int
-	remote      map[string]remoteLoad // by router
-	claim       *waiter               // the next request for which there was no room
+	busyUntil time.Time
+	recent    amounts   // milliseconds of reading that were sent lately
+	pace      float64   // time that reading takes over what the model says
+	paced     time.Time // last observation of it
+	running   int
+	reading   int // of those running, without a first event
+	tokens    int
+	remote    map[string]remoteLoad // by router
+	claim     *waiter               // the next request for which there was no room
 
 	parts     *partCache
 	errorRate float64
@@ -99,7 +99,7 @@
 func (s *server) push(now time.Time, tokens float64) {
 	read := s.readTime(tokens)
 	s.busyUntil = later(s.busyUntil, now).Add(read)
-	s.smoothUntil = later(s.smoothUntil, now).Add(time.Duration(float64(read) / smoothRate))
+	s.recent.add(now, milliseconds(read))
 }
 
 func later(a, b time.Time) time.Time {
--- a/placement/window.go
+++ b/placement/window.go
@@ -63,3 +63,34 @@
 	s.move(slot)
 	return max(0, s.total)
 }
+
+// amounts are what was added lately; its zero value is empty.
+type amounts struct {
+	list []amount
+}
+
+type amount struct {
+	at    time.Time
+	value float64
+}
+
+func (a *amounts) add(now time.Time, value float64) { a.list = append(a.list, amount{now, value}) }
+
+// sum returns what was added in the milliseconds before now.
+func (a *amounts) sum(now time.Time, span float64) float64 {
+	old, sum := 0, 0.0
+	for _, x := range a.list {
+		if milliseconds(now.Sub(x.at)) > maxSpan {
+			old++
+			continue
+		}
+		if milliseconds(now.Sub(x.at)) <= span {
+			sum += x.value
+		}
+	}
+	a.list = append(a.list[:0], a.list[old:]...)
+	return sum
+}
+
+// maxSpan is the longest span that is summed, in milliseconds.
+const maxSpan = 1000.0
