--- a/ingress/stream.go
+++ b/ingress/stream.go
@@ -60,6 +60,9 @@
 				first = false
 			} else {
 				s.gap = max(s.gap, now.Sub(s.lastAt))
+				if x.route.GapObjective > 0 && s.gap > x.route.GapObjective {
+					g.Slow()
+				}
 			}
 			s.lastAt = now
 			if failed := x.forward(ex, s.buffer[:n]); failed != nil {
--- a/placement/grant.go
+++ b/placement/grant.go
@@ -32,6 +32,7 @@
 	ahead     float64       // tokens that the server had to read before
 	expected  time.Duration // to the first event
 	began     bool
+	slow      bool
 	over      bool
 }
 
@@ -60,6 +61,9 @@
 	s.reading--
 	s.answered(now)
 	if g.ask.Prompt > 0 {
+		if !g.ask.Late && now.After(g.ask.Objective) {
+			g.late()
+		}
 		s.pool.observe(now, s, g.ahead+g.effort, g.expected, now.Sub(g.sentAt))
 		if s.reading == 0 && s.busyUntil.After(now) {
 			s.busyUntil = now.Add(s.busyUntil.Sub(now) / 2)
@@ -68,6 +72,21 @@
 	p.dispatch(now, s.pool)
 }
 
+// Slow takes in that the stream is late by a pause or by its first event.
+func (g *Grant) Slow() {
+	p := g.placement
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	g.late()
+}
+
+func (g *Grant) late() {
+	if !g.slow {
+		g.slow = true
+		g.server.pool.strain.add(true)
+	}
+}
+
 // End takes in how the attempt ended, and reports whether the server was taken out for it.
 func (g *Grant) End(now time.Time, o Outcome) (ejected bool) {
 	p := g.placement
@@ -81,6 +100,9 @@
 	switch o {
 	case Done:
 		s.answered(now)
+		if g.ask.Prompt > 0 && !g.slow {
+			s.pool.strain.add(false)
+		}
 		s.judge(now, false)
 	case Failed, Silent:
 		ejected = s.judge(now, true)
--- a/placement/pool.go
+++ b/placement/pool.go
@@ -34,6 +34,7 @@
 	memoryShare   = 0.70 // of an engine's memory that running requests may take; the rest keeps shared parts
 	fullSlots     = 1.0
 	spareSlots    = 0.7
+	minSpare      = 0.05 // below, nothing is spare
 	defaultPause  = 300 * time.Millisecond
 	arrivalMargin = 30 * time.Millisecond
 )
@@ -58,6 +59,7 @@
 	perToken float64 // milliseconds in which an engine reads one token
 	base     float64 // milliseconds to the first event beyond reading
 	fit      fit
+	strain   strain
 }
 
 func newPool(p *Placement, s *route.Service) *pool {
@@ -135,9 +137,12 @@
 func (p *pool) chooseEngine(now time.Time, w *waiter) (choice, bool) {
 	a, spare := w.ask, w.spare()
 	home := p.home(now, a.Parts)
-	reading, slots := fullReading, fullSlots
+	reading, slots := fullReading*p.strain.full(), fullSlots
 	if spare {
-		reading, slots = spareReading, spareSlots
+		reading, slots = spareReading*p.strain.spare(), spareSlots
+		if reading < minSpare {
+			return choice{}, false
+		}
 	}
 	pause := milliseconds(cmp.Or(a.Pause, defaultPause))
 	var best, wanted choice
