Some engines read long prompts; requests move to others with their first event

Cause: streams are late by pauses, and pauses come from long prompts read beside them. Engines can hand running requests over, so 0.42 of them read prompts and keep their shared parts, the rest run streams. Ruled out: fewer requests at each engine (it refuses instead). On the way: one router's model of an engine ran away to a backlog of 70 s, since nothing corrected what others had sent; the tokens without a first event now bound it, and routers share their observations of reading time.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -116,6 +116,7 @@
 	}
 	flow := ingress.NewFlow(ingress.Options{
 		Dialect: platform.Dialect(), View: g.view, Place: g.place, Upstream: g.upstream, Suspects: g.suspects,
+		Mover: platform.NewMover(g.upstream, g.logger),
 		Clock: boottime, Lease: s.Revoke - leaseMargin, Settle: s.ConfigApply, Logger: g.logger, Metrics: g.metrics,
 	})
 	if g.ingress, err = ingress.NewServer(s.Listen, flow, g.logger); err != nil {
--- a/ingress/attempt.go
+++ b/ingress/attempt.go
@@ -30,12 +30,12 @@
 	if x.declined(ex) {
 		io.CopyN(io.Discard, ex, 1<<16)
 		x.end(g, placement.Declined)
-		return true, &verdict{503, causeDeclined, firstRetry}
+		return true, &verdict{status: 503, cause: causeDeclined, after: firstRetry}
 	}
 	x.mayRun = true
 	if status/100 == 2 && ex.Header().Get(x.flow.Dialect.Seal) == "" {
 		x.end(g, placement.Failed)
-		return x.route.Repeats(), &verdict{502, causeUnsealed, 0}
+		return x.route.Repeats(), &verdict{status: 502, cause: causeUnsealed}
 	}
 	if x.stream != nil && status == http.StatusOK {
 		return x.pass(ctx, g, ex)
@@ -64,14 +64,14 @@
 		return false, x.overdue(ctx)
 	case unsent:
 		x.end(g, placement.Unreachable)
-		return true, &verdict{503, causeUnreachable, firstRetry}
+		return true, &verdict{status: 503, cause: causeUnreachable, after: firstRetry}
 	}
 	x.end(g, placement.Broken)
 	x.flow.Suspects.Crashed(time.Now(), x.digest)
 	if x.flow.Suspects.Refused(time.Now(), x.digest) {
-		return false, &verdict{502, causeBroken, 0}
+		return false, &verdict{status: 502, cause: causeBroken}
 	}
-	return x.repeatable(), &verdict{502, causeBroken, 0}
+	return x.repeatable(), &verdict{status: 502, cause: causeBroken}
 }
 
 // repeatable reports whether a second run is allowed after one that broke off.
@@ -83,11 +83,11 @@
 func (x *call) overdue(ctx context.Context) *verdict {
 	switch {
 	case !errors.Is(ctx.Err(), context.DeadlineExceeded):
-		return &verdict{502, causeLeft, 0}
+		return &verdict{status: 502, cause: causeLeft}
 	case x.mayRun:
-		return &verdict{504, causeTimeout, 0}
+		return &verdict{status: 504, cause: causeTimeout}
 	}
-	return &verdict{503, causeTimeout, 0}
+	return &verdict{status: 503, cause: causeTimeout}
 }
 
 // patienceOutcome tells a server that stayed silent from a client that left.
@@ -191,6 +191,9 @@
 	if x.customer != nil {
 		b = appendHeader(b, d.Customer, x.customer.Name)
 	}
+	if x.movedFrom != "" {
+		b = appendHeader(b, d.MoveFrom, x.movedFrom)
+	}
 	if x.stream != nil && x.stream.lastID != "" {
 		b = appendHeader(b, d.LastEvent, x.stream.lastID)
 	}
@@ -214,7 +217,7 @@
 func (x *call) reserved(name string) bool {
 	d := x.flow.Dialect
 	switch name {
-	case d.Deadline, d.Expect, d.Customer, d.Key:
+	case d.Deadline, d.Expect, d.Customer, d.Key, d.MoveFrom:
 		return true
 	case d.LastEvent:
 		return x.stream != nil
--- a/ingress/flow.go
+++ b/ingress/flow.go
@@ -26,6 +26,19 @@
 	Cleared(digest uint64)
 }
 
+// Moved says where the memory of a request is that was to move.
+type Moved struct {
+	From   string // to be named when the request goes on
+	Copied bool   // the other engine has it; if not, only the one that ran the request
+}
+
+// Mover hands running requests over from one engine to another.
+type Mover interface {
+	// Move stops a request at an engine and copies its memory to another one. It
+	// reports false if the request goes on where it was.
+	Move(ctx context.Context, source, id, target string) (Moved, bool)
+}
+
 // Options describe a Flow.
 type Options struct {
 	Dialect  *Dialect
@@ -33,6 +46,7 @@
 	Place    *placement.Placement
 	Upstream *upstream.Pool
 	Suspects Suspects
+	Mover    Mover
 	Clock    func() time.Duration // goes on while the VM is suspended
 	Lease    time.Duration        // a key is accepted for so long after the last proof that the configuration is the newest
 	Settle   time.Duration        // a request is refused for good only with a proof that is younger
@@ -84,6 +98,9 @@
 	last     *verdict
 	stream   *stream
 
+	movedFrom string // where the memory of a moved request is
+	moves     int
+
 	queued     time.Duration // before the last attempt was sent
 	firstAfter time.Duration // from the arrival to the first event
 	expected   time.Duration // from the last send to the first event
@@ -95,6 +112,7 @@
 	status int
 	cause  string
 	after  time.Duration // when to come back, for a call that has not run
+	seen   placement.Seen
 }
 
 // serve serves one request and reports whether its connection stays usable.
@@ -113,7 +131,7 @@
 	if v != nil {
 		return x.refuse(v)
 	}
-	x.log(x.out.status, "answered")
+	x.log(x.out.status, &verdict{cause: "answered"})
 	return x.out.keep
 }
 
@@ -124,18 +142,18 @@
 	table, age, proven := f.View.Age(now)
 	x.table, x.proofAge = table, age
 	if table == nil {
-		return &verdict{503, "no-configuration", firstRetry}
+		return &verdict{status: 503, cause: "no-configuration", after: firstRetry}
 	}
 	certain := proven && age <= f.Settle
 	path, _, _ := strings.Cut(x.http.RequestURI, "?")
 	if x.route = table.Lookup(x.http.Host, path); x.route == nil {
-		return unless(certain, &verdict{404, "no-route", 0})
+		return unless(certain, &verdict{status: 404, cause: "no-route"})
 	}
 	if v := x.identify(proven && age <= f.Lease, certain); v != nil {
 		return v
 	}
 	if x.service = x.route.Pick(rand.Float64()); x.service == nil {
-		return &verdict{503, "no-service", firstRetry}
+		return &verdict{status: 503, cause: "no-service", after: firstRetry}
 	}
 	x.prepare()
 	return nil
@@ -149,7 +167,7 @@
 	if certain {
 		return v
 	}
-	return &verdict{503, v.cause + "-unproven", firstRetry}
+	return &verdict{status: 503, cause: v.cause + "-unproven", after: firstRetry}
 }
 
 // identify finds the customer by the key. A key counts only while the
@@ -166,10 +184,10 @@
 		return nil
 	}
 	if !fresh {
-		return &verdict{503, "key-unproven", firstRetry}
+		return &verdict{status: 503, cause: "key-unproven", after: firstRetry}
 	}
 	if x.customer = x.table.Customer(key); x.customer == nil {
-		return unless(certain, &verdict{401, "no-key", 0})
+		return unless(certain, &verdict{status: 401, cause: "no-key"})
 	}
 	return nil
 }
@@ -233,7 +251,7 @@
 func (x *call) run(ctx context.Context) *verdict {
 	f := x.flow
 	if f.Suspects.Refused(x.arrived, x.digest) {
-		return &verdict{503, "crashes-servers", x.route.Timeout}
+		return &verdict{status: 503, cause: "crashes-servers", after: x.route.Timeout}
 	}
 	f.Place.Arrived(x.arrived, x.ask)
 	unreached := 0
@@ -265,9 +283,9 @@
 		return x.settle(ctx)
 	}
 	if ctx.Err() != nil && !x.mayRun {
-		return &verdict{503, string(placement.Left), 0}
+		return &verdict{status: 503, cause: string(placement.Left)}
 	}
-	return &verdict{503, string(r.Reason), r.After}
+	return &verdict{status: 503, cause: string(r.Reason), after: r.After, seen: r.Seen}
 }
 
 // settle turns the last failure into a final answer that is true of all attempts.
@@ -275,13 +293,13 @@
 	v := x.last
 	switch {
 	case v == nil:
-		return &verdict{503, string(placement.NoServer), firstRetry}
+		return &verdict{status: 503, cause: string(placement.NoServer), after: firstRetry}
 	case !x.mayRun:
-		return &verdict{503, v.cause, firstRetry}
+		return &verdict{status: 503, cause: v.cause, after: firstRetry}
 	case errors.Is(ctx.Err(), context.DeadlineExceeded):
-		return &verdict{504, v.cause, 0}
+		return &verdict{status: 504, cause: v.cause}
 	}
-	return &verdict{502, v.cause, 0}
+	return &verdict{status: 502, cause: v.cause}
 }
 
 // The causes of failed attempts.
@@ -298,11 +316,11 @@
 // refuse answers with a status of the router's own.
 func (x *call) refuse(v *verdict) bool {
 	if x.out.begun {
-		x.log(x.out.status, v.cause)
+		x.log(x.out.status, v)
 		return false // the answer has begun: only its missing end tells that it failed
 	}
 	x.out.fail(v)
-	x.log(v.status, v.cause)
+	x.log(v.status, v)
 	return x.out.keep
 }
 
--- a/ingress/log.go
+++ b/ingress/log.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"github.com/uber-go/tally/v4"
+
+	"bulrushtally/placement"
 )
 
 // counters count calls by how they ended.
@@ -26,7 +28,8 @@
 }
 
 // log writes the line of a call that has ended.
-func (x *call) log(status int, cause string) {
+func (x *call) log(status int, v *verdict) {
+	cause := v.cause
 	took := time.Since(x.arrived)
 	f := x.flow
 	f.counts.scope.Tagged(map[string]string{"status": strconv.Itoa(status), "cause": cause}).Counter("requests").Inc(1)
@@ -46,5 +49,8 @@
 		e = e.Int("events", x.stream.events).Dur("first_ms", x.firstAfter).Dur("expected_ms", x.expected).
 			Int("unread", x.unread).Dur("gap_ms", x.stream.gap)
 	}
+	if s := v.seen; s != (placement.Seen{}) {
+		e = e.Int("unusable", s.Unusable).Int("claimed", s.Claimed).Int("full", s.Full).Int("busy", s.Busy).Dur("best_first_ms", s.First)
+	}
 	e.Msg("request")
 }
--- a/ingress/stream.go
+++ b/ingress/stream.go
@@ -18,6 +18,7 @@
 // stream is the state of an answer that is a series of events.
 type stream struct {
 	resumable bool
+	whole     bool   // only complete events are passed on, since the stream may go on elsewhere
 	lastID    string // of the last event that was passed on
 	lastNum   int64
 	partial   []byte // of an event that is not complete
@@ -28,7 +29,7 @@
 }
 
 func newStream(resumable bool, after string) *stream {
-	s := &stream{resumable: resumable, lastID: after, lastNum: -1}
+	s := &stream{resumable: resumable, whole: resumable, lastID: after, lastNum: -1}
 	if n, err := strconv.ParseInt(after, 10, 64); err == nil {
 		s.lastNum = n
 	}
@@ -53,21 +54,13 @@
 	for {
 		n, err := ex.Read(s.buffer)
 		if n > 0 {
-			now := time.Now()
-			if first {
-				g.First(now)
-				x.firstAfter, x.expected, x.unread = now.Sub(x.arrived), g.Expected(), g.Unread()
-				first = false
-			} else {
-				s.gap = max(s.gap, now.Sub(s.lastAt))
-				if x.route.GapObjective > 0 && s.gap > x.route.GapObjective {
-					g.Slow()
-				}
+			x.timeEvent(g, first)
+			if first && x.movable() {
+				s.whole = true
 			}
-			s.lastAt = now
-			if failed := x.forward(ex, s.buffer[:n]); failed != nil {
+			if x.forward(ex, s.buffer[:n]) != nil {
 				x.end(g, placement.GivenUp)
-				return false, &verdict{502, causeLeft, 0}
+				return false, &verdict{status: 502, cause: causeLeft}
 			}
 		}
 		switch {
@@ -76,13 +69,107 @@
 		case err != nil:
 			return x.brokenStream(ctx, g, err)
 		}
+		if first && n > 0 && x.movable() {
+			if to := g.Move(time.Now()); to != nil {
+				if moved, ok := x.flow.Mover.Move(ctx, g.Address(), x.meta.id, to.Address()); ok {
+					return x.goOn(ctx, g, ex, to, moved)
+				}
+				to.Unsent(time.Now())
+			}
+		}
+		first = first && n == 0
+	}
+}
+
+// movable reports whether the stream may go on at another engine. It moves once.
+func (x *call) movable() bool {
+	return x.flow.Mover != nil && x.service.Moves && x.moves == 0 && x.meta.id != ""
+}
+
+// timeEvent takes in that events have come.
+func (x *call) timeEvent(g *placement.Grant, first bool) {
+	s, now := x.stream, time.Now()
+	if first && s.lastAt.IsZero() {
+		g.First(now)
+		x.firstAfter, x.expected, x.unread = now.Sub(x.arrived), g.Expected(), g.Unread()
+		s.lastAt = now
+		return
+	}
+	if first {
+		g.First(now)
+	}
+	s.gap = max(s.gap, now.Sub(s.lastAt))
+	if x.route.GapObjective > 0 && s.gap > x.route.GapObjective {
+		g.Slow()
+	}
+	s.lastAt = now
+}
+
+// goOn passes on what the first engine still made, and then the stream of the
+// engine that the request has moved to, or of the first one if the other cannot go on.
+func (x *call) goOn(ctx context.Context, g *placement.Grant, ex *upstream.Exchange, to *placement.Grant, m Moved) (again bool, v *verdict) {
+	x.moves++
+	if done, v := x.drain(g, ex); done {
+		to.Unsent(time.Now())
+		return false, v
+	}
+	x.movedFrom = m.From
+	defer func() { x.movedFrom = "" }()
+	if m.Copied {
+		if next, err := x.flow.Upstream.Send(ctx, to.Address(), x.outgoing(to.ID())); err == nil {
+			defer next.Close()
+			if x.goesOn(next) {
+				x.end(g, placement.Done)
+				return x.pass(ctx, to, next)
+			}
+		}
+	}
+	to.Unsent(time.Now())
+	next, err := x.flow.Upstream.Send(ctx, g.Address(), x.outgoing(g.ID()))
+	if err != nil {
+		return x.brokenStream(ctx, g, err)
+	}
+	defer next.Close()
+	if !x.goesOn(next) {
+		return x.brokenStream(ctx, g, errNotMoved)
+	}
+	return x.pass(ctx, g, next)
+}
+
+// errNotMoved says that a request that was stopped to move could go on nowhere.
+var errNotMoved = errors.New("the request was stopped to move and no engine goes on with it")
+
+func (x *call) goesOn(ex *upstream.Exchange) bool {
+	return !x.declined(ex) && ex.Status() == 200
+}
+
+// drain passes on the events that an engine made before it stopped, and reports
+// whether the stream is over with them.
+func (x *call) drain(g *placement.Grant, ex *upstream.Exchange) (done bool, v *verdict) {
+	s := x.stream
+	for {
+		n, err := ex.Read(s.buffer)
+		if n > 0 {
+			x.timeEvent(g, false)
+			if x.forward(ex, s.buffer[:n]) != nil {
+				x.end(g, placement.GivenUp)
+				return true, &verdict{status: 502, cause: causeLeft}
+			}
+		}
+		switch {
+		case errors.Is(err, io.EOF) && len(s.partial) == 0:
+			_, v := x.finishStream(g, ex)
+			return true, v
+		case err != nil:
+			return false, nil
+		}
 	}
 }
 
 // forward passes on what was read: all of it, or, where the stream may be resumed, complete events only.
 func (x *call) forward(ex *upstream.Exchange, b []byte) error {
 	s := x.stream
-	if s.resumable {
+	if s.whole {
 		s.partial = append(s.partial, b...)
 		end := bytes.LastIndex(s.partial, []byte("\n\n"))
 		if end < 0 {
@@ -138,7 +225,7 @@
 
 func (x *call) finishStream(g *placement.Grant, ex *upstream.Exchange) (again bool, v *verdict) {
 	s := x.stream
-	if s.resumable && len(s.partial) > 0 {
+	if s.whole && len(s.partial) > 0 {
 		return x.brokenStream(context.Background(), g, io.ErrUnexpectedEOF)
 	}
 	x.end(g, placement.Done)
--- a/placement/grant.go
+++ b/placement/grant.go
@@ -33,6 +33,7 @@
 	expected  time.Duration // to the first event
 	began     bool
 	slow      bool
+	moved     bool // the request was read elsewhere
 	over      bool
 }
 
@@ -59,15 +60,13 @@
 	g.began = true
 	s := g.server
 	s.reading--
+	s.unread = max(0, s.unread-g.effort)
 	s.answered(now)
 	if g.ask.Prompt > 0 {
 		if !g.ask.Late && now.After(g.ask.Objective) {
 			g.late()
 		}
 		s.pool.observe(now, s, g.ahead+g.effort, g.expected, now.Sub(g.sentAt))
-		if s.reading == 0 && s.busyUntil.After(now) {
-			s.busyUntil = now.Add(s.busyUntil.Sub(now) / 2)
-		}
 	}
 	p.dispatch(now, s.pool)
 }
@@ -143,13 +142,14 @@
 	s.running--
 	if !g.began {
 		s.reading--
+		s.unread = max(0, s.unread-g.effort)
 	}
 	s.tokens -= g.ask.Prompt + g.ask.Output
 }
 
 // refund takes back what was charged for a request that did not run.
 func (g *Grant) refund(now time.Time) {
-	if g.ask.Prompt == 0 {
+	if g.ask.Prompt == 0 || g.moved {
 		return
 	}
 	g.customer.served.add(g.placement.shares.slot(now), -g.ask.cost())
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -65,6 +65,13 @@
 type Refusal struct {
 	Reason Reason
 	After  time.Duration
+	Seen   Seen
+}
+
+// Seen counts why backend servers did not take a request when it was last tried.
+type Seen struct {
+	Unusable, Claimed, Full, Busy int
+	First                         time.Duration // expected to the first event at the best of the busy ones
 }
 
 // Error describes the refusal and its remedy.
@@ -102,6 +109,7 @@
 	since   time.Time
 	granted chan *Grant // holds one
 	over    bool        // at the last look
+	seen    Seen
 }
 
 // New returns a Placement that knows no backend servers.
@@ -265,11 +273,11 @@
 	pl := p.pools[a.Service]
 	if pl == nil || len(pl.servers) == 0 {
 		p.mu.Unlock()
-		return nil, &Refusal{NoServer, p.comeBack(a, true)}
+		return nil, &Refusal{Reason: NoServer, After: p.comeBack(a, true)}
 	}
 	if len(a.Tried) > 0 && !pl.retries.take(now, &p.bounds, p.routers) {
 		p.mu.Unlock()
-		return nil, &Refusal{NoBudget, p.comeBack(a, false)}
+		return nil, &Refusal{Reason: NoBudget, After: p.comeBack(a, false)}
 	}
 	c := p.shares.customer(a.Customer)
 	over := a.Prompt > 0 && p.shares.over(now, c, a.cost())
@@ -283,7 +291,7 @@
 	patience := w.patience()
 	if patience <= 0 {
 		p.mu.Unlock()
-		return nil, &Refusal{w.reason(), p.comeBack(a, w.over)}
+		return nil, &Refusal{w.reason(), p.comeBack(a, w.over), w.seen}
 	}
 	pl.waiting = append(pl.waiting, w)
 	p.mu.Unlock()
@@ -312,7 +320,7 @@
 		g.Unsent(time.Now())
 	default:
 	}
-	return nil, &Refusal{reason, p.comeBack(w.ask, w.over)}
+	return nil, &Refusal{reason, p.comeBack(w.ask, w.over), w.seen}
 }
 
 // Parts of the objective for which a request may wait at its router.
@@ -400,6 +408,7 @@
 	if a.Prompt > 0 {
 		g.ahead = milliseconds(s.wait(now)) / (pl.perToken * s.pace)
 		s.push(now, c.effort)
+		s.unread += c.effort
 		s.sent += uint64(c.effort)
 		s.parts.use(a.Parts)
 		w.from.served.add(p.shares.slot(now), a.cost())
--- a/placement/pool.go
+++ b/placement/pool.go
@@ -59,11 +59,14 @@
 	perToken float64 // milliseconds in which an engine reads one token
 	base     float64 // milliseconds to the first event beyond reading
 	fit      fit
+	fits     map[string]fit // of other routers
 	strain   strain
+	split    bool // some engines read prompts for the others
+	assigned time.Time
 }
 
 func newPool(p *Placement, s *route.Service) *pool {
-	return &pool{placement: p, service: s, perToken: firstPerToken, base: firstBase}
+	return &pool{placement: p, service: s, perToken: firstPerToken, base: firstBase, fits: map[string]fit{}}
 }
 
 // partTokens is how much of an engine's memory is believed to hold prompt parts.
@@ -86,7 +89,7 @@
 
 // home returns the usable server that a prompt's shared parts belong to by
 // rendezvous hashing, so that all routers read them at the same one, or nil.
-func (p *pool) home(now time.Time, parts []Part) *server {
+func (p *pool) home(now time.Time, parts []Part, reader bool) *server {
 	if len(parts) == 0 {
 		return nil
 	}
@@ -94,7 +97,7 @@
 	var best *server
 	var top uint64
 	for _, s := range p.servers {
-		if !s.usable(now) {
+		if !s.usable(now) || p.split && s.reader != reader {
 			continue
 		}
 		if h := mix(key, s.hash); best == nil || h > top {
@@ -135,56 +138,113 @@
 // chooseEngine returns the engine of the least cost among those that have room. If
 // there is none, the best one is claimed, so that smaller requests do not keep it full.
 func (p *pool) chooseEngine(now time.Time, w *waiter) (choice, bool) {
-	a, spare := w.ask, w.spare()
-	home := p.home(now, a.Parts)
-	reading, slots := fullReading*p.strain.full(), fullSlots
-	if spare {
-		reading, slots = spareReading*p.strain.spare(), spareSlots
-		if reading < minSpare {
-			return choice{}, false
-		}
+	p.assign(now)
+	w.seen = Seen{}
+	v := p.newVisit(now, w)
+	if v.spare && v.reading < minSpare {
+		return choice{}, false
 	}
-	pause := milliseconds(cmp.Or(a.Pause, defaultPause))
-	var best, wanted choice
-	found, ties := false, 0
 	for _, s := range p.servers {
-		if !s.usable(now) || a.tried(s.ID) || s.claimed(w) || !p.placement.bears(now, s) {
+		if p.split && s.reader != v.reader {
 			continue
 		}
-		s.forget(now)
-		running, tokens := s.load(now)
-		if running >= int(slots*float64(s.slotCount())) || tokens+a.Prompt+a.Output > int(memoryShare*float64(p.service.Memory)) {
-			continue
+		v.look(s)
+	}
+	if !v.found && p.split && !v.reader && !v.spare {
+		for _, s := range p.servers {
+			if s.reader {
+				v.look(s)
+			}
 		}
-		recent := s.recent.sum(now, pause)
-		c := p.weigh(now, a, s, s == home, running)
-		over := recent + c.read - fullReading*pause
-		if over > 0 {
-			c.cost += harmCost * over * float64(running)
+	}
+	if !v.found && !v.spare && v.wanted.server != nil && !(p.split && v.wanted.server.reader) {
+		v.wanted.server.claim = w
+	}
+	return v.best, v.found
+}
+
+// visit is a look at all engines for one request.
+type visit struct {
+	pool    *pool
+	now     time.Time
+	waiter  *waiter
+	home    *server
+	spare   bool
+	reader  bool    // the request belongs to engines that read prompts
+	pause   float64 // longest pause of its stream, in milliseconds
+	reading float64 // part of a pause that may be reading
+	slots   float64
+	queue   float64 // part of the objective that may pass at a reader
+
+	best, wanted choice
+	found        bool
+	ties         int
+}
+
+func (p *pool) newVisit(now time.Time, w *waiter) *visit {
+	v := &visit{pool: p, now: now, waiter: w, spare: w.spare(), pause: milliseconds(cmp.Or(w.ask.Pause, defaultPause))}
+	v.reader = p.wantsReader(w.ask, v.pause)
+	v.home = p.home(now, w.ask.Parts, v.reader)
+	v.reading, v.slots, v.queue = fullReading*p.strain.full(), fullSlots, queueFull
+	if v.spare {
+		v.reading, v.slots, v.queue = spareReading*p.strain.spare(), spareSlots, queueSpare*p.strain.spare()
+	}
+	return v
+}
+
+// look weighs one engine and keeps the best.
+func (v *visit) look(s *server) {
+	p, now, a := v.pool, v.now, v.waiter.ask
+	seen := &v.waiter.seen
+	switch {
+	case !s.usable(now) || a.tried(s.ID) || !p.placement.bears(now, s):
+		seen.Unusable++
+		return
+	case s.claimed(v.waiter):
+		seen.Claimed++
+		return
+	}
+	s.forget(now)
+	running, tokens := s.load(now)
+	if running >= int(v.slots*float64(s.slotCount())) || tokens+a.Prompt+a.Output > int(memoryShare*float64(p.service.Memory)) {
+		seen.Full++
+		return
+	}
+	c := p.weigh(now, a, s, s == v.home, running)
+	if !v.room(s, &c, running) {
+		if seen.Busy++; seen.First == 0 || c.first < seen.First {
+			seen.First = c.first
 		}
-		inTime := a.Late || c.first <= a.Objective.Sub(now)-arrivalMargin || s.wait(now) == 0
-		if recent > aloneReading*pause && recent+c.read > reading*pause || !inTime {
-			if wanted.server == nil || c.cost < wanted.cost {
-				wanted = c
-			}
-			continue
+		if v.wanted.server == nil || c.cost < v.wanted.cost {
+			v.wanted = c
 		}
-		switch {
-		case !found || c.cost < best.cost-nearBest:
-			best, found, ties = c, true, 1
-		case c.cost < best.cost+nearBest:
-			// Routers with the same picture part: any of the near best will do.
-			ties++
-			if rand.IntN(ties) == 0 {
-				c.cost = min(c.cost, best.cost)
-				best = c
-			}
+		return
+	}
+	switch {
+	case !v.found || c.cost < v.best.cost-nearBest:
+		v.best, v.found, v.ties = c, true, 1
+	case c.cost < v.best.cost+nearBest:
+		// Routers with the same picture part: any of the near best will do.
+		v.ties++
+		if rand.IntN(v.ties) == 0 {
+			c.cost = min(c.cost, v.best.cost)
+			v.best = c
 		}
 	}
-	if !found && !spare && wanted.server != nil {
-		wanted.server.claim = w
+}
+
+// room reports whether an engine can take the request in time, and adds what that does to streams.
+func (v *visit) room(s *server, c *choice, running int) bool {
+	a, now := v.waiter.ask, v.now
+	inTime := a.Late || c.first <= a.Objective.Sub(now)-arrivalMargin || s.wait(now) == 0
+	if v.pool.split && s.reader {
+		return inTime && milliseconds(s.wait(now)) <= v.queue*milliseconds(a.Within)
 	}
-	return best, found
+	recent := s.recent.sum(now, v.pause)
+	if over := recent + c.read - fullReading*v.pause; over > 0 {
+		c.cost += harmCost * over * float64(running)
+	}
+	return inTime && (recent <= aloneReading*v.pause || recent+c.read <= v.reading*v.pause)
 }
 
 // weigh returns what it takes and costs to send a request to a server.
@@ -254,7 +314,11 @@
 // observe learns from a first event: how long reading takes, on the whole and at this server.
 func (p *pool) observe(now time.Time, s *server, tokens float64, expected, took time.Duration) {
 	p.fit.add(tokens, milliseconds(took))
-	if slope, base, ok := p.fit.line(); ok {
+	all := p.fit
+	for _, f := range p.fits {
+		all = all.plus(f)
+	}
+	if slope, base, ok := all.line(); ok {
 		p.perToken = min(maxPerToken, max(minPerToken, slope))
 		p.base = min(maxBase, max(0, base))
 	}
@@ -276,6 +340,11 @@
 	f.xy = f.xy*fitMemory + x*y
 }
 
+// plus returns the observations of both.
+func (f fit) plus(g fit) fit {
+	return fit{n: f.n + g.n, x: f.x + g.x, y: f.y + g.y, xx: f.xx + g.xx, xy: f.xy + g.xy}
+}
+
 // line returns the line of least squares, or false if there are too few observations.
 func (f *fit) line() (slope, base float64, ok bool) {
 	spread := f.n*f.xx - f.x*f.x
--- /dev/null
+++ b/placement/roles.go
@@ -0,0 +1,94 @@
+package placement
+
+// This file defines the roles of engines: some read prompts, the others run streams.
+
+import (
+	"cmp"
+	"math"
+	"slices"
+	"time"
+)
+
+// How work is split between engines that can hand running requests over. Long
+// prompts are read where no stream runs that they could make late, and the
+// request moves to an engine that runs streams with its first event. Shared parts
+// of long prompts stay in the memory of few engines.
+const (
+	readerShare  = 0.42 // of the engines read prompts
+	leastEngines = 3    // with fewer, all do everything
+	longRead     = 0.06 // of the longest pause: a prompt that takes longer is read by a reader
+	shortOutput  = 64   // tokens up to which a stream has no pauses to speak of and ends where it began
+	rolesAge     = 50 * time.Millisecond
+	queueFull    = 0.75 // of the objective that may pass until a reader begins
+	queueSpare   = 0.30
+	fullMemory   = 0.92 // of a stream engine's memory
+)
+
+// assign gives the usable engines their roles; all routers that see the same
+// engines give the same roles.
+func (p *pool) assign(now time.Time) {
+	if now.Sub(p.assigned) < rolesAge {
+		return
+	}
+	p.assigned = now
+	usable := make([]*server, 0, len(p.servers))
+	for _, s := range p.servers {
+		s.reader = false
+		if s.usable(now) {
+			usable = append(usable, s)
+		}
+	}
+	p.split = p.service.Moves && len(usable) >= leastEngines
+	if !p.split {
+		return
+	}
+	slices.SortFunc(usable, func(a, b *server) int { return cmp.Compare(a.hash, b.hash) })
+	for _, s := range usable[:int(math.Ceil(readerShare*float64(len(usable))))] {
+		s.reader = true
+	}
+}
+
+// wantsReader reports whether a request belongs to engines that read prompts.
+func (p *pool) wantsReader(a *Ask, pause float64) bool {
+	if a.Output <= shortOutput {
+		return true
+	}
+	return effort(a.Prompt, a.Prompt-a.shared())*p.perToken > longRead*pause
+}
+
+// Move returns a place at an engine that runs streams, for a request that was
+// read by a reader, or nil if it stays where it is.
+func (g *Grant) Move(now time.Time) *Grant {
+	p := g.placement
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	pl := g.server.pool
+	pl.assign(now)
+	if !pl.split || !g.server.reader || g.ask.Output <= shortOutput {
+		return nil
+	}
+	var best *server
+	least := 0.0
+	for _, s := range pl.servers {
+		if s.reader || s == g.server || !s.usable(now) || s.cold(now) {
+			continue
+		}
+		running, tokens := s.load(now)
+		if running >= s.slotCount() || tokens+g.ask.Prompt+g.ask.Output > int(fullMemory*float64(pl.service.Memory)) {
+			continue
+		}
+		load := float64(tokens)/float64(pl.service.Memory) + float64(running)/float64(s.slotCount())
+		if best == nil || load < least {
+			best, least = s, load
+		}
+	}
+	if best == nil {
+		return nil
+	}
+	best.running++
+	best.tokens += g.ask.Prompt + g.ask.Output
+	return &Grant{
+		placement: p, server: best, ask: g.ask, customer: g.customer, id: best.ID, address: best.Address,
+		sentAt: now, began: true, moved: true, slow: g.slow,
+	}
+}
--- a/placement/server.go
+++ b/placement/server.go
@@ -49,13 +49,15 @@
 	downUntil time.Time
 	failures  int // in a row
 	warming   bool
+	reader    bool // reads prompts for others
 
 	busyUntil time.Time
 	recent    amounts   // milliseconds of reading that were sent lately
 	pace      float64   // time that reading takes over what the model says
 	paced     time.Time // last observation of it
 	running   int
-	reading   int // of those running, without a first event
+	reading   int     // of those running, without a first event
+	unread    float64 // tokens of those that are reading
 	tokens    int
 	remote    map[string]remoteLoad // by router
 	claim     *waiter               // the next request for which there was no room
@@ -71,6 +73,7 @@
 // remoteLoad is what another router last said of one backend server.
 type remoteLoad struct {
 	running, tokens int
+	reading         int // tokens that are yet to be read
 	at              time.Time
 }
 
@@ -90,8 +93,19 @@
 	return running, tokens
 }
 
-// wait returns the time until all prompts sent to the server are read.
+// wait returns the time until all prompts sent to the server are read. The model
+// knows what is read already of a prompt, and the tokens without a first event bound
+// its errors.
 func (s *server) wait(now time.Time) time.Duration {
+	unread := s.unread
+	for _, r := range s.remote {
+		if now.Sub(r.at) < remoteStatsExpire {
+			unread += float64(r.reading)
+		}
+	}
+	if most := now.Add(s.readTime(unread)); s.busyUntil.After(most) {
+		s.busyUntil = most
+	}
 	return max(0, s.busyUntil.Sub(now))
 }
 
--- a/placement/summary.go
+++ b/placement/summary.go
@@ -10,10 +10,18 @@
 	Server  string
 	Running int
 	Tokens  int
+	Reading int    // tokens that it has yet to read of these
 	Sent    uint64 // tokens sent to be read so far, a sum since the router started
 	Down    bool   // the router could not reach it lately
 }
 
+// FitSums are a router's observations of how long the engines of a service take to read.
+type FitSums struct {
+	_               struct{} `cbor:",toarray"`
+	Service         string
+	N, X, Y, XX, XY float64
+}
+
 // Service is what a customer asked for and got at a router, as sums since the router started.
 type Service struct {
 	_             struct{} `cbor:",toarray"`
@@ -35,6 +43,7 @@
 	Loads       []Load
 	Services    []Service
 	Crashes     []Crash
+	Fits        []FitSums
 }
 
 // Crash is a request that was running when its backend server broke off.
@@ -58,9 +67,10 @@
 	defer p.mu.Unlock()
 	for id, s := range p.servers {
 		if s.sent > 0 || s.running > 0 || s.failures > 0 {
-			m.Loads = append(m.Loads, Load{Server: id, Running: s.running, Tokens: s.tokens, Sent: s.sent, Down: s.failures > 1})
+			m.Loads = append(m.Loads, Load{Server: id, Running: s.running, Tokens: s.tokens, Reading: int(s.unread), Sent: s.sent, Down: s.failures > 1})
 		}
 	}
+	p.fillFits(m)
 	for name, c := range p.shares.customers {
 		if c.askedSum > 0 {
 			m.Services = append(m.Services, Service{Customer: name, Asked: c.askedSum, Served: c.servedSum})
@@ -68,6 +78,24 @@
 	}
 }
 
+// fillFits adds this router's observations to a summary.
+func (p *Placement) fillFits(m *Summary) {
+	for name, pl := range p.pools {
+		if f := pl.fit; f.n > 0 {
+			m.Fits = append(m.Fits, FitSums{Service: name, N: f.n, X: f.x, Y: f.y, XX: f.xx, XY: f.xy})
+		}
+	}
+}
+
+// heardFits takes in another router's observations.
+func (p *Placement) heardFits(m *Summary) {
+	for _, f := range m.Fits {
+		if pl := p.pools[f.Service]; pl != nil {
+			pl.fits[m.Router] = fit{n: f.N, x: f.X, y: f.Y, xx: f.XX, xy: f.XY}
+		}
+	}
+}
+
 // Heard takes in what another router says of its own requests.
 func (p *Placement) Heard(now time.Time, m *Summary) {
 	p.mu.Lock()
@@ -83,6 +111,7 @@
 	for _, l := range m.Loads {
 		p.heardLoad(now, old, m.Router, l)
 	}
+	p.heardFits(m)
 	slot := p.shares.slot(now)
 	for _, s := range m.Services {
 		c := p.shares.customer(s.Customer)
@@ -99,7 +128,7 @@
 	if s == nil {
 		return
 	}
-	s.remote[from] = remoteLoad{running: l.Running, tokens: l.Tokens, at: now}
+	s.remote[from] = remoteLoad{running: l.Running, tokens: l.Tokens, reading: l.Reading, at: now}
 	if more := increase(old.sent, l.Server, l.Sent); more > 0 {
 		s.push(now, more)
 	}
@@ -126,4 +155,7 @@
 	for _, s := range p.servers {
 		delete(s.remote, router)
 	}
+	for _, pl := range p.pools {
+		delete(pl.fits, router)
+	}
 }
--- a/route/table.go
+++ b/route/table.go
@@ -49,8 +49,9 @@
 	MaxConns      int // connections that one backend server accepts from all routers
 	Cold          time.Duration
 	ColdPerSecond float64
-	Slots         int // requests at once, 0 if only the backend servers say
-	Memory        int // tokens that one model engine holds, 0 for a plain service
+	Slots         int  // requests at once, 0 if only the backend servers say
+	Memory        int  // tokens that one model engine holds, 0 for a plain service
+	Moves         bool // engines hand a running request over to another one
 }
 
 // Engine reports whether the backend servers are model engines.
