Wait for the engine that holds a prompt's shared parts

Cause: a third of long prompts went to whichever engine had room, and read 4,900 shared tokens again (2.5 of 4.4 M).

--- a/ingress/flow.go
+++ b/ingress/flow.go
@@ -37,6 +37,8 @@
 	// Move stops a request at an engine and copies its memory to another one. It
 	// reports false if the request goes on where it was.
 	Move(ctx context.Context, source, id, target string) (Moved, bool)
+	// Free lets the engine that stopped a request forget its memory.
+	Free(m Moved)
 }
 
 // Options describe a Flow.
--- a/ingress/log.go
+++ b/ingress/log.go
@@ -43,7 +43,7 @@
 	}
 	if x.ask != nil {
 		e = e.Str("customer", x.ask.Customer).Strs("servers", x.ask.Tried).Dur("queued_ms", x.queued).
-			Int("prompt", x.ask.Prompt).Int("output", x.ask.Output)
+			Int("shared", x.ask.Shared()).Int("prompt", x.ask.Prompt).Int("output", x.ask.Output)
 	}
 	if x.stream != nil {
 		e = e.Int("events", x.stream.events).Dur("first_ms", x.firstAfter).Dur("expected_ms", x.expected).
--- a/ingress/stream.go
+++ b/ingress/stream.go
@@ -120,6 +120,7 @@
 			defer next.Close()
 			if x.goesOn(next) {
 				x.end(g, placement.Done)
+				go x.flow.Mover.Free(m)
 				return x.pass(ctx, to, next)
 			}
 		}
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -33,8 +33,8 @@
 
 func (a *Ask) tried(id string) bool { return slices.Contains(a.Tried, id) }
 
-// shared returns the tokens of the parts that other requests bring too.
-func (a *Ask) shared() int {
+// Shared returns the tokens of the parts that other requests bring too.
+func (a *Ask) Shared() int {
 	if a.shares == 0 {
 		for _, p := range a.Parts {
 			a.shares += p.Tokens
--- a/placement/pool.go
+++ b/placement/pool.go
@@ -35,13 +35,15 @@
 	fullSlots     = 1.0
 	spareSlots    = 0.7
 	minSpare      = 0.05 // below, nothing is spare
+	homeWait      = 0.30 // of the objective that a request waits for the engine that holds its shared parts
+	worthWaiting  = 400  // shared tokens from which it does
 	defaultPause  = 300 * time.Millisecond
 	arrivalMargin = 30 * time.Millisecond
 )
 
 // Costs by which engines are compared, in milliseconds.
 const (
-	rereadCost  = 0.05 // for each shared token that another engine holds
+	rereadCost  = 0.10 // for each shared token that another engine holds
 	runningCost = 0.4  // for each stream whose steps get longer
 	harmCost    = 0.08 // for each stream and millisecond by which its pause may get too long
 	farCost     = 3.0  // for bytes between zones
@@ -119,12 +121,13 @@
 
 // choice is a server that can take a request now.
 type choice struct {
-	server *server
-	unread int           // prompt tokens that it has to read
-	effort float64       // tokens that this is worth
-	first  time.Duration // expected time to the first event
-	read   float64       // milliseconds of reading
-	cost   float64
+	server  *server
+	unread  int           // prompt tokens that it has to read
+	effort  float64       // tokens that this is worth
+	missing int           // shared tokens among them that another engine holds
+	first   time.Duration // expected time to the first event
+	read    float64       // milliseconds of reading
+	cost    float64
 }
 
 // choose returns the best server for a request, or false if none may take it now.
@@ -157,6 +160,9 @@
 			}
 		}
 	}
+	if v.found && v.waitsForHome() {
+		return choice{}, false
+	}
 	if !v.found && !v.spare && v.wanted.server != nil && !(p.split && v.wanted.server.reader) {
 		v.wanted.server.claim = w
 	}
@@ -192,6 +198,17 @@
 	return v
 }
 
+// waitsForHome reports whether the request had better wait for the engine that holds
+// its shared parts than have another one read them again.
+func (v *visit) waitsForHome() bool {
+	a := v.waiter.ask
+	if v.home == nil || v.best.server == v.home || v.wanted.server != v.home || v.best.missing < worthWaiting {
+		return false
+	}
+	waited := v.now.Sub(v.waiter.since)
+	return v.spare || milliseconds(waited) < homeWait*milliseconds(a.Within)
+}
+
 // look weighs one engine and keeps the best.
 func (v *visit) look(s *server) {
 	p, now, a := v.pool, v.now, v.waiter.ask
@@ -251,14 +268,15 @@
 func (p *pool) weigh(now time.Time, a *Ask, s *server, home bool, running int) choice {
 	known := s.parts.known(a.Parts)
 	if home {
-		known = a.shared()
+		known = a.Shared()
 	}
 	c := choice{server: s, unread: max(1, a.Prompt-known)}
+	c.missing = a.Shared() - known
 	c.effort = effort(a.Prompt, c.unread)
 	read := s.readTime(c.effort)
 	c.read = milliseconds(read)
 	c.first = s.wait(now) + read + time.Duration(p.base*float64(time.Millisecond))
-	c.cost = milliseconds(c.first) + rereadCost*float64(a.shared()-known) + runningCost*float64(running)
+	c.cost = milliseconds(c.first) + rereadCost*float64(c.missing) + runningCost*float64(running)
 	if s.Zone != p.placement.zone {
 		c.cost += farCost
 	}
--- a/placement/roles.go
+++ b/placement/roles.go
@@ -53,7 +53,7 @@
 	if a.Output <= shortOutput {
 		return true
 	}
-	return effort(a.Prompt, a.Prompt-a.shared())*p.perToken > longRead*pause
+	return effort(a.Prompt, a.Prompt-a.Shared())*p.perToken > longRead*pause
 }
 
 // Move returns a place at an engine that runs streams, for a request that was
