--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -145,10 +145,14 @@
 	})
 }
 
-// troubled reports whether the store was in trouble lately.
+// lapseTime is how long after the store's last failure a missing entry may have
+// lapsed with the store; the entries are seen as soon as it answers again.
+const lapseTime = time.Second
+
+// troubled reports whether the store failed so lately that entries may have lapsed with it.
 func (g *Gateway) troubled() bool {
 	now := boottime()
-	return now-g.follower.servers.FailedAt() < g.settings.Contact || now-g.follower.operator.FailedAt() < g.settings.Contact
+	return now-g.follower.servers.FailedAt() < lapseTime || now-g.follower.operator.FailedAt() < lapseTime
 }
 
 // Address returns the address that callers reach.
@@ -267,6 +271,7 @@
 		case <-ctx.Done():
 			return nil
 		case now := <-t.C:
+			g.servers.expire(now)
 			g.place.Tick(now)
 		}
 	}
@@ -281,7 +286,6 @@
 			g.upstream.Close()
 			return nil
 		case now := <-t.C:
-			g.servers.expire(now)
 			g.upstream.Trim(now)
 		}
 	}
--- a/gateway/tables.go
+++ b/gateway/tables.go
@@ -89,7 +89,7 @@
 
 // relistTime is how long a backend server whose entry lapsed with the store is
 // kept after the store's return: by then it is listed again if it is alive.
-const relistTime = 2200 * time.Millisecond
+const relistTime = 1800 * time.Millisecond
 
 // serverTable takes in the entries of backend servers.
 type serverTable struct {
