--- a/placement/pool.go
+++ b/placement/pool.go
@@ -193,7 +193,8 @@
 	v.home = p.home(now, w.ask.Parts, v.reader)
 	v.reading, v.slots, v.queue = fullReading*p.strain.full(), fullSlots, queueFull
 	if v.spare {
-		v.reading, v.slots, v.queue = spareReading*p.strain.spare(), spareSlots, queueSpare*p.strain.spare()
+		part := p.strain.spare() * p.placement.shares.yields(now, w.from)
+		v.reading, v.slots, v.queue = spareReading*part, spareSlots, queueSpare*part
 	}
 	return v
 }
