--- a/follow/follow.go
+++ b/follow/follow.go
@@ -6,6 +6,7 @@
 	"context"
 	"errors"
 	"math/rand/v2"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -24,6 +25,7 @@
 type Batch struct {
 	Rows    []Row
 	Version uint64
+	Now     time.Duration // reading of the store's steady clock when it answered
 }
 
 // ErrHistory says that the store dropped the changes after a version.
@@ -37,7 +39,7 @@
 	Changes(table string, after uint64, wait, timeout time.Duration) (Batch, error)
 }
 
-// Table takes in the rows of a table. Its methods are called one after another.
+// Table takes in the rows of a table. Reset and Change are called one after another.
 type Table interface {
 	// Reset takes in all rows; those that are not among them are gone.
 	Reset(rows []Row)
@@ -52,20 +54,29 @@
 	Name    string
 	Source  Source
 	Table   Table
-	Wait    time.Duration // longest time that the store holds a call for changes
-	Timeout time.Duration // beyond that, without an answer
+	Wait    func() time.Duration // longest time that the store holds a call for changes
+	Timeout time.Duration        // beyond that, without an answer
+	Pause   func() time.Duration // after changes, before the next call, so that more of them come with it
 	Clock   func() time.Duration
 	Logger  zerolog.Logger
 }
 
-// Follower follows one table.
+// Follower follows one table; Nudge may be called from many goroutines.
+//
+// Invariant: the table takes in changes in the order of the store's versions, each once.
 type Follower struct {
 	options Options
-	version uint64
 	known   bool
 	failing bool
-	failed  atomic.Int64 // clock reading of the last failure
+	failed  atomic.Int64  // clock reading of the last failure
+	version atomic.Uint64 // up to which the table is known
 	done    chan struct{}
+
+	mu      sync.Mutex // held while the table takes rows in
+	behind  time.Duration
+	offset  time.Duration // the store's clock is ahead of this one by no more
+	offsets bool          // offset is known
+	nudging atomic.Bool
 }
 
 // New returns a Follower that knows nothing.
@@ -81,6 +92,9 @@
 // FailedAt returns the clock reading at the last failed call.
 func (f *Follower) FailedAt() time.Duration { return time.Duration(f.failed.Load()) }
 
+// Version returns the version of the store up to which the table is known.
+func (f *Follower) Version() uint64 { return f.version.Load() }
+
 // Pauses after a failed call.
 const (
 	firstPause = 40 * time.Millisecond
@@ -92,22 +106,26 @@
 	defer close(f.done)
 	pause := firstPause
 	for ctx.Err() == nil {
-		err := f.step()
+		changed, err := f.step()
+		wait := time.Duration(0)
 		switch {
 		case err == nil:
 			pause = firstPause
-			continue
+			if changed {
+				wait = f.options.Pause()
+			}
 		case errors.Is(err, ErrHistory):
-			f.options.Logger.Info().Str("table", f.options.Name).Uint64("version", f.version).Msg("history-dropped")
+			f.options.Logger.Info().Str("table", f.options.Name).Uint64("version", f.Version()).Msg("history-dropped")
 			f.known = false
-			continue
+		default:
+			f.note(err)
+			wait = pause/2 + rand.N(pause)
+			pause = min(longPause, 2*pause)
 		}
-		f.note(err)
 		select {
 		case <-ctx.Done():
-		case <-time.After(pause/2 + rand.N(pause)):
+		case <-time.After(wait):
 		}
-		pause = min(longPause, 2*pause)
 	}
 	return nil
 }
@@ -115,42 +133,120 @@
 func (f *Follower) note(err error) {
 	f.failed.Store(int64(f.options.Clock()))
 	if !f.failing {
-		f.options.Logger.Warn().Err(err).Str("table", f.options.Name).Uint64("version", f.version).Msg("store-lost")
+		f.options.Logger.Warn().Err(err).Str("table", f.options.Name).Uint64("version", f.Version()).Msg("store-lost")
 	}
 	f.failing = true
 }
 
-func (f *Follower) step() error {
+// step makes one call and reports whether it brought changes.
+func (f *Follower) step() (changed bool, err error) {
 	o := &f.options
 	began := o.Clock()
 	if !f.known {
 		b, err := o.Source.Rows(o.Name, o.Timeout)
 		if err != nil {
-			return err
+			return false, err
 		}
-		o.Table.Reset(b.Rows)
-		f.version, f.known = b.Version, true
-		f.regained(began)
-		return nil
+		f.reset(b)
+		f.regained(f.provenAt(began, b, 0))
+		return true, nil
 	}
-	wait := o.Wait
+	wait := o.Wait()
 	if f.failing {
 		wait = 0 // learn at once whether the store is back
 	}
-	b, err := o.Source.Changes(o.Name, f.version, wait, o.Timeout)
+	b, err := o.Source.Changes(o.Name, f.Version(), wait, o.Timeout)
 	if err != nil {
-		return err
+		return false, err
 	}
-	o.Table.Change(b.Rows)
-	f.version = max(f.version, b.Version)
-	f.regained(began)
-	return nil
+	f.take(b)
+	f.regained(f.provenAt(began, b, deafTime))
+	return len(b.Rows) > 0, nil
+}
+
+func (f *Follower) reset(b Batch) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.options.Table.Reset(b.Rows)
+	f.version.Store(b.Version)
+	f.known = true
+}
+
+// take takes in changes, but for those that came with an earlier call.
+func (f *Follower) take(b Batch) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	known := f.version.Load()
+	fresh := b.Rows[:0:0]
+	for _, r := range b.Rows {
+		if r.Version > known {
+			fresh = append(fresh, r)
+		}
+	}
+	f.options.Table.Change(fresh)
+	f.version.Store(max(known, b.Version))
+}
+
+// deafTime is for how long a call for changes may hear nothing while changes are made.
+const deafTime = 1200 * time.Millisecond
+
+// provenAt returns a clock reading at which the table was as a call's answer says: the
+// call's begin, or later by the store's clock. The store read its clock after the call
+// began, so its clock is ahead by no more than the difference, and the least
+// difference of all calls bounds every answer's age.
+func (f *Follower) provenAt(began time.Duration, b Batch, deaf time.Duration) time.Duration {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if b.Now == 0 {
+		return began
+	}
+	if ahead := b.Now - began; !f.offsets || ahead < f.offset {
+		f.offset, f.offsets = ahead, true
+	}
+	return max(began, b.Now-f.offset-deaf)
 }
 
 func (f *Follower) regained(began time.Duration) {
 	f.options.Table.Proven(began)
 	if f.failing {
-		f.options.Logger.Info().Str("table", f.options.Name).Uint64("version", f.version).Msg("store-regained")
+		f.options.Logger.Info().Str("table", f.options.Name).Uint64("version", f.Version()).Msg("store-regained")
 	}
 	f.failing = false
 }
+
+// nudgeAfter is how long another follower may be ahead before a call in progress is
+// taken to hear nothing.
+const nudgeAfter = 250 * time.Millisecond
+
+// Nudge takes in the version up to which another follower knows the table. If this one
+// stays behind, it asks the store beside the call in progress.
+func (f *Follower) Nudge(version uint64) {
+	f.mu.Lock()
+	now := f.options.Clock()
+	switch {
+	case version <= f.version.Load():
+		f.behind = 0
+	case f.behind == 0:
+		f.behind = now
+	}
+	late := f.behind != 0 && now-f.behind > nudgeAfter+f.options.Pause()
+	f.mu.Unlock()
+	if !late || f.nudging.Swap(true) {
+		return
+	}
+	go f.catchUp()
+}
+
+func (f *Follower) catchUp() {
+	defer f.nudging.Store(false)
+	o := &f.options
+	began := o.Clock()
+	b, err := o.Source.Changes(o.Name, f.Version(), 0, o.Timeout)
+	if err != nil {
+		o.Logger.Debug().Err(err).Str("table", o.Name).Msg("catch-up-failed")
+		time.Sleep(longPause)
+		return
+	}
+	f.take(b)
+	o.Table.Proven(f.provenAt(began, b, 0))
+}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -7,6 +7,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"runtime/debug"
@@ -35,8 +36,12 @@
 
 // Timing of a gateway.
 const (
-	configWait      = 1000 * time.Millisecond // a call for changes proves the configuration this often
-	serversWait     = 1500 * time.Millisecond
+	configWait      = 1300 * time.Millisecond // a call for changes proves the configuration this often
+	sharedWait      = 2500 * time.Millisecond // the same where many routers tell each other of their proofs
+	manyRouters     = 20
+	serversWait     = 4000 * time.Millisecond
+	feedPause       = 5 * time.Millisecond // for each router, between calls that bring changes
+	longFeedPause   = 700 * time.Millisecond
 	storeTimeout    = 700 * time.Millisecond
 	leaseMargin     = 600 * time.Millisecond // of a key's time, for clocks and requests on their way
 	dispatchPeriod  = 8 * time.Millisecond
@@ -71,6 +76,7 @@
 
 	incarnation uint64
 	leaving     atomic.Bool
+	routers     atomic.Int64 // that could exist
 	done        chan struct{}
 }
 
@@ -107,9 +113,9 @@
 	g.place = placement.New(placement.Options{Zone: s.Zone, Bounds: g.bounds(s), Routers: s.SpareRouters + 1, Now: time.Now()})
 	g.upstream = upstream.NewPool(upstream.DefaultOptions, s.IP)
 	operator := &operatorTable{view: g.view, place: g.place, logger: g.logger, out: map[string]bool{}}
-	g.follower.operator = g.follow(platform.OperatorTable, operator, configWait)
+	g.follower.operator = g.follow(platform.OperatorTable, operator, g.configWait)
 	g.servers = &serverTable{place: g.place, trouble: g.troubled, logger: g.logger, missing: map[string]time.Time{}}
-	g.follower.servers = g.follow(platform.ServerTable, g.servers, serversWait)
+	g.follower.servers = g.follow(platform.ServerTable, g.servers, g.serversWait)
 	var err error
 	if g.gossip, err = gossip.New(s.VM, net.JoinHostPort(s.IP, strconv.Itoa(s.PeerPort)), g, g.logger); err != nil {
 		return err
@@ -139,12 +145,30 @@
 	}
 }
 
-func (g *Gateway) follow(table string, t follow.Table, wait time.Duration) *follow.Follower {
+func (g *Gateway) follow(table string, t follow.Table, wait func() time.Duration) *follow.Follower {
 	return follow.New(follow.Options{
-		Name: table, Source: g.store, Table: t, Wait: wait, Timeout: storeTimeout, Clock: boottime, Logger: g.logger,
+		Name: table, Source: g.store, Table: t, Wait: wait, Timeout: storeTimeout, Pause: g.feedPause, Clock: boottime, Logger: g.logger,
 	})
 }
 
+// configWait returns how long a call for a change of the configuration may wait. It
+// varies, so that routers that started together do not call together.
+func (g *Gateway) configWait() time.Duration {
+	wait := configWait
+	if g.routers.Load() > manyRouters {
+		wait = sharedWait
+	}
+	return wait - rand.N(wait/4)
+}
+
+func (g *Gateway) serversWait() time.Duration { return serversWait - rand.N(serversWait/4) }
+
+// feedPause returns how long to wait after changes for more of them: all routers
+// together call the store as often in a large fleet as in a small one.
+func (g *Gateway) feedPause() time.Duration {
+	return min(longFeedPause, time.Duration(g.routers.Load())*feedPause)
+}
+
 // lapseTime is how long after the store's last failure a missing entry may have
 // lapsed with the store; the entries are seen as soon as it answers again.
 const lapseTime = time.Second
@@ -315,6 +339,7 @@
 	m := &placement.Summary{
 		Router: g.settings.VM, Incarnation: g.incarnation, Zone: g.settings.Zone, Address: g.gossip.Address(),
 		Leaving: g.leaving.Load(), Crashes: g.suspects.tell(),
+		Rows: g.follower.servers.Version(), Settings: g.follower.operator.Version(),
 	}
 	if t, age, proven := g.view.Age(boottime()); t != nil {
 		m.Version = t.Version()
@@ -337,13 +362,16 @@
 		age := time.Duration(m.ProofAge)*time.Millisecond + proofDelay
 		g.view.Prove(m.Version, boottime()-age)
 	}
+	g.follower.operator.Nudge(m.Settings)
+	g.follower.servers.Nudge(m.Rows)
 	g.suspects.heard(now, m.Crashes)
 	g.place.Heard(now, m)
 }
 
 // Routers takes in how many routers there are.
-func (g *Gateway) Routers(_, known, rank int) {
-	g.place.Routers(known+g.settings.SpareRouters, rank)
+func (g *Gateway) Routers(_, known, rank int, period time.Duration) {
+	g.routers.Store(int64(known))
+	g.place.Routers(known+g.settings.SpareRouters, rank, period)
 }
 
 // Silent takes in that another router is silent.
--- a/gossip/gossip.go
+++ b/gossip/gossip.go
@@ -35,8 +35,8 @@
 	// Heard takes in another router's summary.
 	Heard(m *placement.Summary)
 	// Routers takes in how many routers are alive, how many were ever heard of or
-	// listed, and this one's rank among those alive.
-	Routers(alive, known, rank int)
+	// listed, this one's rank among those alive, and the time between two summaries.
+	Routers(alive, known, rank int, period time.Duration)
 	// Silent takes in that a router has not been heard for a time.
 	Silent(name string)
 }
@@ -113,16 +113,15 @@
 
 // tell sends a summary to the other routers and returns when the next is due.
 func (g *Gossip) tell(now time.Time) time.Duration {
-	to, known := g.targets(now)
-	period := max(minPeriod, time.Duration(len(to))*perRouter)
+	to := g.targets(now)
+	due := period(len(to))
 	if len(to) == 0 {
-		g.handler.Routers(1, known, 0)
-		return period
+		return due
 	}
 	data, err := cbor.Marshal(g.handler.Summary())
 	if err != nil || len(data) > maxMessage {
 		g.logger.Warn().Err(err).Int("bytes", len(data)).Msg("summary-not-sent")
-		return period
+		return due
 	}
 	for _, a := range to {
 		// A full queue or an unreachable router loses one summary, which the next makes good.
@@ -130,11 +129,16 @@
 			g.logger.Debug().Err(err).Str("router", a.String()).Msg("summary-lost")
 		}
 	}
-	return period
+	return due
 }
 
-// targets returns who gets a summary in this period, and how many routers are known.
-func (g *Gossip) targets(now time.Time) (to []netip.AddrPort, known int) {
+// period returns the time between two summaries to so many routers.
+func period(routers int) time.Duration {
+	return max(minPeriod, time.Duration(routers)*perRouter)
+}
+
+// targets returns who gets a summary in this period.
+func (g *Gossip) targets(now time.Time) (to []netip.AddrPort) {
 	g.mu.Lock()
 	g.periods++
 	var fell []string
@@ -152,15 +156,15 @@
 			to = append(to, r.address)
 		}
 	}
-	known = len(g.routers) + 1
+	known := len(g.routers) + 1
 	g.mu.Unlock()
 	for _, name := range fell {
 		g.logger.Info().Str("router", name).Dur("silence_ms", silence).Msg("router-silent")
 		g.handler.Silent(name)
 	}
 	slices.Sort(alive)
-	g.handler.Routers(len(alive), known, slices.Index(alive, g.self))
-	return to, known
+	g.handler.Routers(len(alive), known, slices.Index(alive, g.self), period(len(to)))
+	return to
 }
 
 func (g *Gossip) receive() {
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -93,8 +93,9 @@
 
 	mu        sync.Mutex
 	bounds    Bounds
-	routers   int // that could exist: bounds are split by it
-	rank      int // of this router among those that are alive
+	routers   int           // that could exist: bounds are split by it
+	rank      int           // of this router among those that are alive
+	stale     time.Duration // time between two summaries of another router
 	pools     map[string]*pool
 	servers   map[string]*server
 	evacuated map[string]bool
@@ -225,11 +226,12 @@
 	}
 }
 
-// Routers says how many routers could exist and this one's rank among those alive, from 0.
-func (p *Placement) Routers(n, rank int) {
+// Routers says how many routers could exist, this one's rank among those alive, from
+// 0, and the time between two summaries of each.
+func (p *Placement) Routers(n, rank int, period time.Duration) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.routers, p.rank = max(1, n), rank
+	p.routers, p.rank, p.stale = max(1, n), rank, period
 }
 
 // bears reports whether a server may get one more request in this second. A cold
@@ -401,6 +403,7 @@
 	}
 	s.running++
 	s.reading++
+	s.sentAt = now
 	s.tokens += a.Prompt + a.Output
 	if s.cold(now) {
 		s.coldSent.add(now)
--- a/placement/pool.go
+++ b/placement/pool.go
@@ -47,7 +47,8 @@
 	runningCost = 0.4  // for each stream whose steps get longer
 	harmCost    = 0.08 // for each stream and millisecond by which its pause may get too long
 	farCost     = 3.0  // for bytes between zones
-	nearBest    = 8.0  // engines whose costs differ by less are the same
+	nearBest    = 6.0  // engines whose costs differ by less are the same
+	staleNear   = 0.04 // beyond that, for each millisecond between two summaries
 )
 
 // pool is the backend servers of one service.
@@ -181,6 +182,7 @@
 	reading float64 // part of a pause that may be reading
 	slots   float64
 	queue   float64 // part of the objective that may pass at a reader
+	near    float64 // engines whose costs differ by less are the same
 
 	best, wanted choice
 	found        bool
@@ -189,6 +191,7 @@
 
 func (p *pool) newVisit(now time.Time, w *waiter) *visit {
 	v := &visit{pool: p, now: now, waiter: w, spare: w.spare(), pause: milliseconds(cmp.Or(w.ask.Pause, defaultPause))}
+	v.near = nearBest + staleNear*milliseconds(p.placement.stale)
 	v.reader = p.wantsReader(w.ask, v.pause)
 	v.home = p.home(now, w.ask.Parts, v.reader)
 	v.reading, v.slots, v.queue = fullReading*p.strain.full(), fullSlots, queueFull
@@ -223,7 +226,7 @@
 		return
 	}
 	s.forget(now)
-	running, tokens := s.load(now)
+	running, tokens := s.load()
 	if running >= int(v.slots*float64(s.slotCount())) || tokens+a.Prompt+a.Output > int(memoryShare*float64(p.service.Memory)) {
 		seen.Full++
 		return
@@ -239,9 +242,9 @@
 		return
 	}
 	switch {
-	case !v.found || c.cost < v.best.cost-nearBest:
+	case !v.found || c.cost < v.best.cost-v.near:
 		v.best, v.found, v.ties = c, true, 1
-	case c.cost < v.best.cost+nearBest:
+	case c.cost < v.best.cost+v.near:
 		// Routers with the same picture part: any of the near best will do.
 		v.ties++
 		if rand.IntN(v.ties) == 0 {
@@ -300,7 +303,10 @@
 		if !s.usable(now) || a.tried(s.ID) || !p.placement.bears(now, s) {
 			continue
 		}
-		running, _ := s.load(now)
+		running := s.running
+		if p.placement.stale < shortWork {
+			running, _ = s.load()
+		}
 		slots := s.slotCount()
 		if spare {
 			slots = max(1, slots-1)
@@ -322,6 +328,10 @@
 	return best, found
 }
 
+// shortWork is about how long a plain service works on a request: what other routers
+// said longer ago is of requests that are over.
+const shortWork = 150 * time.Millisecond
+
 // slotCount returns how many requests the server runs at once.
 func (s *server) slotCount() int {
 	if s.Slots > 0 {
--- a/placement/roles.go
+++ b/placement/roles.go
@@ -73,7 +73,7 @@
 		if s.reader || s == g.server || !s.usable(now) || s.cold(now) {
 			continue
 		}
-		running, tokens := s.load(now)
+		running, tokens := s.load()
 		if running >= s.slotCount() || tokens+g.ask.Prompt+g.ask.Output > int(fullMemory*float64(pl.service.Memory)) {
 			continue
 		}
--- a/placement/server.go
+++ b/placement/server.go
@@ -22,17 +22,16 @@
 
 // Bounds of what a router learns of one backend server.
 const (
-	minPace, maxPace  = 0.5, 12.0
-	paceGain          = 0.08            // of one observation
-	maxRatio          = 3.0             // of one observation to what was expected
-	paceMemory        = 3 * time.Second // without observations, after which a server's pace is taken to be that of its peers
-	errorGain         = 0.12
-	firstPause        = 250 * time.Millisecond // after a failed connection
-	longPause         = 2 * time.Second
-	ejectPause        = 2500 * time.Millisecond // for failing far more often than its peers
-	ejectRate         = 0.35
-	ejectSamples      = 8
-	remoteStatsExpire = 3 * time.Second // another router's counts without news
+	minPace, maxPace = 0.5, 12.0
+	paceGain         = 0.08            // of one observation
+	maxRatio         = 3.0             // of one observation to what was expected
+	paceMemory       = 3 * time.Second // without observations, after which a server's pace is taken to be that of its peers
+	errorGain        = 0.12
+	firstPause       = 250 * time.Millisecond // after a failed connection
+	longPause        = 2 * time.Second
+	ejectPause       = 2500 * time.Millisecond // for failing far more often than its peers
+	ejectRate        = 0.35
+	ejectSamples     = 8
 )
 
 // server is one backend server.
@@ -56,10 +55,12 @@
 	pace      float64   // time that reading takes over what the model says
 	paced     time.Time // last observation of it
 	running   int
-	reading   int     // of those running, without a first event
-	unread    float64 // tokens of those that are reading
+	reading   int       // of those running, without a first event
+	unread    float64   // tokens of those that are reading
+	sentAt    time.Time // last request of this router
 	tokens    int
 	remote    map[string]remoteLoad // by router
+	others    remoteLoad            // their sum
 	claim     *waiter               // the next request for which there was no room
 
 	parts     *partCache
@@ -74,7 +75,6 @@
 type remoteLoad struct {
 	running, tokens int
 	reading         int // tokens that are yet to be read
-	at              time.Time
 }
 
 func newServer(p *pool, e Entry) *server {
@@ -82,28 +82,34 @@
 }
 
 // load returns requests in flight and tokens held, other routers' included.
-func (s *server) load(now time.Time) (running, tokens int) {
-	running, tokens = s.running, s.tokens
-	for _, r := range s.remote {
-		if now.Sub(r.at) < remoteStatsExpire {
-			running += r.running
-			tokens += r.tokens
-		}
-	}
-	return running, tokens
+func (s *server) load() (running, tokens int) {
+	return s.running + s.others.running, s.tokens + s.others.tokens
+}
+
+// hear replaces what a router said before of its requests at the server.
+func (s *server) hear(from string, l remoteLoad) {
+	s.unhear(from)
+	s.remote[from] = l
+	s.others.running += l.running
+	s.others.tokens += l.tokens
+	s.others.reading += l.reading
+}
+
+// unhear drops what a router said of its requests at the server.
+func (s *server) unhear(from string) {
+	l := s.remote[from]
+	delete(s.remote, from)
+	s.others.running -= l.running
+	s.others.tokens -= l.tokens
+	s.others.reading -= l.reading
 }
 
 // wait returns the time until all prompts sent to the server are read. The model
 // knows what is read already of a prompt, and the tokens without a first event bound
 // its errors.
 func (s *server) wait(now time.Time) time.Duration {
-	unread := s.unread
-	for _, r := range s.remote {
-		if now.Sub(r.at) < remoteStatsExpire {
-			unread += float64(r.reading)
-		}
-	}
-	if most := now.Add(s.readTime(unread)); s.busyUntil.After(most) {
+	most := now.Add(s.readTime(s.unread + float64(s.others.reading)))
+	if s.busyUntil.After(most) {
 		s.busyUntil = most
 	}
 	return max(0, s.busyUntil.Sub(now))
--- a/placement/summary.go
+++ b/placement/summary.go
@@ -40,6 +40,8 @@
 	Leaving     bool
 	Version     uint64 // of the configuration
 	ProofAge    uint64 // milliseconds since it was proven the newest; 0 if it was not
+	Rows        uint64 // version up to which the store's list of backend servers is known
+	Settings    uint64 // the same of the operator's table
 	Loads       []Load
 	Services    []Service
 	Crashes     []Crash
@@ -66,7 +68,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for id, s := range p.servers {
-		if s.sent > 0 || s.running > 0 || s.failures > 0 {
+		if s.told(now) {
 			m.Loads = append(m.Loads, Load{Server: id, Running: s.running, Tokens: s.tokens, Reading: int(s.unread), Sent: s.sent, Down: s.failures > 1})
 		}
 	}
@@ -96,6 +98,14 @@
 	}
 }
 
+// toldTime is how long after its last request there a router still tells of a server.
+const toldTime = 2 * time.Second
+
+// told reports whether there is something to tell others of a server.
+func (s *server) told(now time.Time) bool {
+	return s.running > 0 || s.failures > 0 || now.Sub(s.sentAt) < toldTime
+}
+
 // Heard takes in what another router says of its own requests.
 func (p *Placement) Heard(now time.Time, m *Summary) {
 	p.mu.Lock()
@@ -105,7 +115,12 @@
 		old = &peerSums{incarnation: m.Incarnation, sent: map[string]uint64{}, asked: map[string]uint64{}, served: map[string]uint64{}}
 		p.peers[m.Router] = old
 		for _, s := range p.servers {
-			delete(s.remote, m.Router)
+			s.unhear(m.Router)
+		}
+	}
+	for id := range old.sent {
+		if s := p.servers[id]; s != nil {
+			s.unhear(m.Router)
 		}
 	}
 	for _, l := range m.Loads {
@@ -128,7 +143,7 @@
 	if s == nil {
 		return
 	}
-	s.remote[from] = remoteLoad{running: l.Running, tokens: l.Tokens, reading: l.Reading, at: now}
+	s.hear(from, remoteLoad{running: l.Running, tokens: l.Tokens, reading: l.Reading})
 	if more := increase(old.sent, l.Server, l.Sent); more > 0 {
 		s.push(now, more)
 	}
@@ -153,7 +168,7 @@
 	defer p.mu.Unlock()
 	delete(p.peers, router)
 	for _, s := range p.servers {
-		delete(s.remote, router)
+		s.unhear(router)
 	}
 	for _, pl := range p.pools {
 		delete(pl.fits, router)
