--- a/follow/follow.go
+++ b/follow/follow.go
@@ -45,8 +45,9 @@
 	Reset(rows []Row)
 	// Change takes in rows that changed, in order.
 	Change(rows []Row)
-	// Proven takes in that the table was as known at a reading of the clock.
-	Proven(at time.Duration)
+	// Proven takes in that the table was as known at a reading of the clock, and at
+	// one of the store's clock, which is 0 if the store tells none.
+	Proven(at, store time.Duration)
 }
 
 // Options describe a Follower.
@@ -148,7 +149,8 @@
 			return false, err
 		}
 		f.reset(b)
-		f.regained(f.provenAt(began, b, 0))
+		f.prove(began, b, 0)
+		f.regained()
 		return true, nil
 	}
 	wait := o.Wait()
@@ -160,7 +162,8 @@
 		return false, err
 	}
 	f.take(b)
-	f.regained(f.provenAt(began, b, deafTime))
+	f.prove(began, b, deafTime)
+	f.regained()
 	return len(b.Rows) > 0, nil
 }
 
@@ -206,8 +209,23 @@
 	return max(began, b.Now-f.offset-deaf)
 }
 
-func (f *Follower) regained(began time.Duration) {
-	f.options.Table.Proven(began)
+func (f *Follower) prove(began time.Duration, b Batch, deaf time.Duration) {
+	store := time.Duration(0)
+	if b.Now > deaf {
+		store = b.Now - deaf
+	}
+	f.options.Table.Proven(f.provenAt(began, b, deaf), store)
+}
+
+// Local returns the reading of this router's clock, or an earlier one, at a reading of
+// the store's clock, and false if no answer has shown that clock yet.
+func (f *Follower) Local(store time.Duration) (at time.Duration, ok bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return store - f.offset, f.offsets
+}
+
+func (f *Follower) regained() {
 	if f.failing {
 		f.options.Logger.Info().Str("table", f.options.Name).Uint64("version", f.Version()).Msg("store-regained")
 	}
@@ -248,5 +266,5 @@
 		return
 	}
 	f.take(b)
-	o.Table.Proven(f.provenAt(began, b, 0))
+	f.prove(began, b, 0)
 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -67,6 +67,7 @@
 	upstream *upstream.Pool
 	suspects *suspects
 	servers  *serverTable
+	operator *operatorTable
 	follower struct{ operator, servers *follow.Follower }
 	gossip   *gossip.Gossip
 	ingress  *ingress.Server
@@ -112,8 +113,8 @@
 	s := g.settings
 	g.place = placement.New(placement.Options{Zone: s.Zone, Bounds: g.bounds(s), Routers: s.SpareRouters + 1, Now: time.Now()})
 	g.upstream = upstream.NewPool(upstream.DefaultOptions, s.IP)
-	operator := &operatorTable{view: g.view, place: g.place, logger: g.logger, out: map[string]bool{}}
-	g.follower.operator = g.follow(platform.OperatorTable, operator, g.configWait)
+	g.operator = &operatorTable{view: g.view, place: g.place, logger: g.logger, out: map[string]bool{}}
+	g.follower.operator = g.follow(platform.OperatorTable, g.operator, g.configWait)
 	g.servers = &serverTable{place: g.place, trouble: g.troubled, logger: g.logger, missing: map[string]time.Time{}}
 	g.follower.servers = g.follow(platform.ServerTable, g.servers, g.serversWait)
 	var err error
@@ -341,26 +342,17 @@
 		Leaving: g.leaving.Load(), Crashes: g.suspects.tell(),
 		Rows: g.follower.servers.Version(), Settings: g.follower.operator.Version(),
 	}
-	if t, age, proven := g.view.Age(boottime()); t != nil {
-		m.Version = t.Version()
-		if proven {
-			m.ProofAge = uint64(max(time.Millisecond, age).Milliseconds())
-		}
-	}
+	p := g.operator.lastProof()
+	m.Version, m.Proof = p.version, uint64(p.store.Milliseconds())
 	g.place.Fill(time.Now(), m)
 	return m
 }
 
-// proofDelay is how long a summary may have been on its way without a proof in it
-// being taken for younger than it is.
-const proofDelay = 300 * time.Millisecond
-
 // Heard takes in what another router says of itself.
 func (g *Gateway) Heard(m *placement.Summary) {
 	now := time.Now()
-	if m.ProofAge > 0 {
-		age := time.Duration(m.ProofAge)*time.Millisecond + proofDelay
-		g.view.Prove(m.Version, boottime()-age)
+	if at, ok := g.follower.operator.Local(time.Duration(m.Proof) * time.Millisecond); ok && m.Proof > 0 {
+		g.view.Prove(m.Version, at)
 	}
 	g.follower.operator.Nudge(m.Settings)
 	g.follower.servers.Nudge(m.Rows)
--- a/gateway/tables.go
+++ b/gateway/tables.go
@@ -20,6 +20,15 @@
 	place  *placement.Placement
 	logger zerolog.Logger
 	out    map[string]bool // zones
+
+	mu    sync.Mutex
+	proof proof
+}
+
+// proof says that a version of the configuration was the newest at a reading of the store's clock.
+type proof struct {
+	version uint64
+	store   time.Duration
 }
 
 var _ follow.Table = (*operatorTable)(nil)
@@ -81,10 +90,22 @@
 }
 
 // Proven takes in that the configuration was the newest at a reading of the clock.
-func (o *operatorTable) Proven(at time.Duration) {
-	if t := o.view.Table(); t != nil {
-		o.view.Prove(t.Version(), at)
+func (o *operatorTable) Proven(at, store time.Duration) {
+	t := o.view.Table()
+	if t == nil {
+		return
 	}
+	o.view.Prove(t.Version(), at)
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.proof = proof{t.Version(), store}
+}
+
+// lastProof returns the last proof that the store itself gave.
+func (o *operatorTable) lastProof() proof {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.proof
 }
 
 // relistTime is how long a backend server whose entry lapsed with the store is
@@ -144,7 +165,7 @@
 }
 
 // Proven takes in that the entries were as known; nothing follows from it.
-func (s *serverTable) Proven(time.Duration) {}
+func (s *serverTable) Proven(_, _ time.Duration) {}
 
 func (s *serverTable) remove(id string, version uint64) {
 	if s.trouble() {
--- a/placement/summary.go
+++ b/placement/summary.go
@@ -39,7 +39,7 @@
 	Address     string // for summaries to it
 	Leaving     bool
 	Version     uint64 // of the configuration
-	ProofAge    uint64 // milliseconds since it was proven the newest; 0 if it was not
+	Proof       uint64 // reading of the store's clock at which it was the newest, in milliseconds; 0 if unknown
 	Rows        uint64 // version up to which the store's list of backend servers is known
 	Settings    uint64 // the same of the operator's table
 	Loads       []Load
