--- a/placement/placement.go
+++ b/placement/placement.go
@@ -291,7 +291,7 @@
 		}
 	}
 	patience := w.patience()
-	if patience <= 0 {
+	if patience <= 0 || pl.crowded(w) {
 		p.mu.Unlock()
 		return nil, &Refusal{w.reason(), p.comeBack(a, w.over), w.seen}
 	}
@@ -386,6 +386,27 @@
 	return false
 }
 
+// Requests that may wait at once: more would only be looked at in vain. What a customer
+// asks beyond its share must cost a small router next to nothing.
+const (
+	maxSpareWaiting = 6   // of one customer above its share
+	maxWaiting      = 150 // of one service
+)
+
+// crowded reports whether as many requests wait as may.
+func (pl *pool) crowded(w *waiter) bool {
+	if !w.spare() {
+		return len(pl.waiting) >= maxWaiting
+	}
+	n := 0
+	for _, x := range pl.waiting {
+		if x.from == w.from && x.spare() {
+			n++
+		}
+	}
+	return n >= maxSpareWaiting || len(pl.waiting) >= maxWaiting/2
+}
+
 // try gives a request a server if one may take it now.
 func (p *Placement) try(now time.Time, pl *pool, w *waiter) *Grant {
 	best, ok := pl.choose(now, w)
