--- a/cmd/bulrushtally/gateway.go
+++ b/cmd/bulrushtally/gateway.go
@@ -4,18 +4,60 @@
 // backend servers itself.
 
 import (
+	"bytes"
 	"context"
 	"os"
 	"os/signal"
 	"syscall"
+	"time"
 
 	"github.com/rs/zerolog"
 	"github.com/urfave/cli/v3"
 
 	"bulrushtally/gateway"
+	"bulrushtally/logline"
 	"bulrushtally/settings"
 )
 
+// lookInterval is the time between two looks at the settings file, which may change without a signal.
+const lookInterval = 5 * time.Second
+
+// reload takes the settings in again on SIGHUP and when their file has changed.
+func reload(ctx context.Context, path string, g *gateway.Gateway, logger zerolog.Logger) {
+	hup := make(chan os.Signal, 1)
+	signal.Notify(hup, syscall.SIGHUP)
+	t := time.NewTicker(lookInterval)
+	defer t.Stop()
+	held, err := os.ReadFile(path)
+	if err != nil {
+		logger.Warn().Err(err).Msg("settings-unreadable")
+	}
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-hup:
+		case <-t.C:
+		}
+		data, err := os.ReadFile(path)
+		if err != nil {
+			logger.Warn().Err(err).Msg("settings-unreadable")
+			continue
+		}
+		if bytes.Equal(data, held) {
+			continue
+		}
+		held = data
+		s, err := settings.ParseGateway(data)
+		if err != nil {
+			logger.Error().Err(err).Msg("settings-refused")
+			continue
+		}
+		g.Reload(s)
+		logger.Info().Msg("settings-reloaded")
+	}
+}
+
 func gatewayCommand() *cli.Command {
 	return &cli.Command{
 		Name:  "gateway",
@@ -32,13 +74,19 @@
 			if err != nil {
 				return err
 			}
-			logger := zerolog.New(os.Stdout).Level(level).With().Timestamp().Logger()
+			lines := logline.New(os.Stdout, logline.DefaultOptions)
+			writing, written := context.WithCancel(ctx)
+			go lines.Run(writing)
+			defer func() {
+				written()
+				<-lines.Done()
+			}()
+			logger := zerolog.New(lines).Level(level).With().Timestamp().Logger()
 			g, err := gateway.New(s, logger)
 			if err != nil {
 				return err
 			}
-			hup := make(chan os.Signal, 1)
-			signal.Notify(hup, syscall.SIGHUP)
+			go reload(ctx, c.String("settings"), g, logger)
 			ctx, stop := signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
 			defer stop()
 			return g.Run(ctx)
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -180,6 +180,9 @@
 	return now-g.follower.servers.FailedAt() < lapseTime || now-g.follower.operator.FailedAt() < lapseTime
 }
 
+// Reload takes in the bounds of new settings. Addresses hold until the next start.
+func (g *Gateway) Reload(s *settings.Gateway) { g.place.SetBounds(g.bounds(s)) }
+
 // Address returns the address that callers reach.
 func (g *Gateway) Address() string { return g.ingress.Address() }
 
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -253,6 +253,13 @@
 	return s.coldSent.count(now) < mine
 }
 
+// SetBounds replaces the bounds over the fleet.
+func (p *Placement) SetBounds(b Bounds) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.bounds = b
+}
+
 // Arrived takes in that a client sent a request to a service, which earns retries.
 func (p *Placement) Arrived(now time.Time, a *Ask) {
 	p.mu.Lock()
@@ -441,14 +448,21 @@
 	return g
 }
 
-// maxMisses is how many waiting requests may find no server before a dispatch ends.
-const maxMisses = 32
+// Bounds on the work of looking for servers for waiting requests, which is done for
+// each request that finds none at each server.
+const (
+	lookBudget  = 800 // servers looked at in vain before a dispatch ends
+	leastMisses = 4
+	dispatchGap = 2 * time.Millisecond // between two dispatches that no one waits for
+)
 
 // dispatch gives servers to waiting requests, in order.
 func (p *Placement) dispatch(now time.Time, pl *pool) {
-	if len(pl.waiting) == 0 {
+	if len(pl.waiting) == 0 || now.Sub(pl.dispatched) < dispatchGap {
 		return
 	}
+	pl.dispatched = now
+	misses := max(leastMisses, lookBudget/max(1, len(pl.servers)))
 	slot := p.shares.slot(now)
 	for _, w := range pl.waiting {
 		w.over = w.ask.Prompt > 0 && p.shares.over(now, w.from, w.ask.cost())
@@ -465,15 +479,14 @@
 	for _, s := range pl.servers {
 		s.claim = nil
 	}
-	misses := 0
 	kept := pl.waiting[:0]
 	for _, w := range pl.waiting {
-		if misses < maxMisses {
+		if misses > 0 {
 			if g := p.try(now, pl, w); g != nil {
 				w.granted <- g
 				continue
 			}
-			misses++
+			misses--
 		}
 		kept = append(kept, w)
 	}
--- a/placement/pool.go
+++ b/placement/pool.go
@@ -53,11 +53,12 @@
 
 // pool is the backend servers of one service.
 type pool struct {
-	placement *Placement
-	service   *route.Service
-	servers   []*server
-	waiting   []*waiter
-	retries   retryBudget
+	placement  *Placement
+	service    *route.Service
+	servers    []*server
+	waiting    []*waiter
+	dispatched time.Time
+	retries    retryBudget
 
 	perToken float64 // milliseconds in which an engine reads one token
 	base     float64 // milliseconds to the first event beyond reading
--- a/placement/summary.go
+++ b/placement/summary.go
@@ -133,9 +133,6 @@
 		c.asked.add(slot, increase(old.asked, s.Customer, s.Asked))
 		c.served.add(slot, increase(old.served, s.Customer, s.Served))
 	}
-	for _, pl := range p.pools {
-		p.dispatch(now, pl)
-	}
 }
 
 func (p *Placement) heardLoad(now time.Time, old *peerSums, from string, l Load) {
