Requests that come back use their customer's share

Cause: a request that came back after a refusal counted as spare capacity, so it was refused again, which serves nobody.

--- a/placement/placement.go
+++ b/placement/placement.go
@@ -349,7 +349,7 @@
 }
 
 // spare reports whether the request gets only what nobody else waits for.
-func (w *waiter) spare() bool { return w.over || w.ask.Late }
+func (w *waiter) spare() bool { return w.over }
 
 func (w *waiter) reason() Reason {
 	if w.over {
