One broken answer is no crash, and roles outlast short trouble

Cause: a reset answer took its engine out for 250 ms at that router, let it count as cold for 3 s after, and shifted the roles and homes of all engines.

--- a/placement/grant.go
+++ b/placement/grant.go
@@ -106,8 +106,8 @@
 	case Failed, Silent:
 		ejected = s.judge(now, true)
 	case Broken:
-		s.failed(now)
-		s.judge(now, true)
+		// One answer that breaks off is no crash: after a crash the next connection fails.
+		ejected = s.judge(now, true)
 	case Unreachable:
 		g.refund(now)
 		s.failed(now)
--- a/placement/pool.go
+++ b/placement/pool.go
@@ -163,6 +163,13 @@
 			}
 		}
 	}
+	if !v.found && p.split && v.reader && w.seen.Busy+w.seen.Claimed+w.seen.Full == 0 {
+		for _, s := range p.servers { // no reader can be used at all
+			if !s.reader {
+				v.look(s)
+			}
+		}
+	}
 	if v.found && v.waitsForHome() {
 		return choice{}, false
 	}
--- a/placement/roles.go
+++ b/placement/roles.go
@@ -34,7 +34,7 @@
 	usable := make([]*server, 0, len(p.servers))
 	for _, s := range p.servers {
 		s.reader = false
-		if s.usable(now) {
+		if s.lasting() {
 			usable = append(usable, s)
 		}
 	}
--- a/placement/server.go
+++ b/placement/server.go
@@ -152,7 +152,16 @@
 	return s.listed && !s.Draining && !s.pool.placement.evacuated[s.Zone] && now.After(s.downUntil)
 }
 
-// failed takes in that the server could not be reached or broke off.
+// lastingFailures is how many connections in a row fail until a server loses its role.
+const lastingFailures = 3
+
+// lasting reports whether the server keeps its role: short trouble of one router does not
+// shift what all engines do.
+func (s *server) lasting() bool {
+	return s.listed && !s.Draining && !s.pool.placement.evacuated[s.Zone] && s.failures < lastingFailures
+}
+
+// failed takes in that the server could not be reached.
 func (s *server) failed(now time.Time) {
 	s.failures++
 	pause := min(longPause, firstPause<<min(s.failures-1, 4))
