Half of the engines read

Cause: readers' memory turns over in about seven seconds, so shared parts yield before they are used again.

--- a/placement/roles.go
+++ b/placement/roles.go
@@ -14,7 +14,7 @@
 // request moves to an engine that runs streams with its first event. Shared parts
 // of long prompts stay in the memory of few engines.
 const (
-	readerShare  = 0.42 // of the engines read prompts
+	readerShare  = 0.52 // of the engines read prompts
 	leastEngines = 3    // with fewer, all do everything
 	longRead     = 0.06 // of the longest pause: a prompt that takes longer is read by a reader
 	shortOutput  = 64   // tokens up to which a stream has no pauses to speak of and ends where it began
