--- a/placement/roles.go
+++ b/placement/roles.go
@@ -19,8 +19,8 @@
 	longRead     = 0.06 // of the longest pause: a prompt that takes longer is read by a reader
 	shortOutput  = 64   // tokens up to which a stream has no pauses to speak of and ends where it began
 	rolesAge     = 50 * time.Millisecond
-	queueFull    = 0.75 // of the objective that may pass until a reader begins
-	queueSpare   = 0.30
+	queueFull    = 0.60 // of the objective that may pass until a reader begins
+	queueSpare   = 0.20
 	fullMemory   = 0.92 // of a stream engine's memory
 )
 
