--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -351,6 +351,62 @@
 	}
 }
 
+var movable = platformtest.Service("models", "stream", 1, map[string]any{
+	"engine": map[string]any{"slots": 8, "kv_capacity": 444000, "moves": true},
+})
+
+func TestLongPromptGoesOnElsewhere(t *testing.T) {
+	s := newSite(t, movable)
+	var servers []*platformtest.Server
+	for i := range 4 {
+		servers = append(servers, s.server(fmt.Sprint("i-", i), "models", 40))
+	}
+	s.ready()
+	a := s.send("POST", "/models/x", "prompt", "Token-Count", "20000,400")
+	for n := 1; n <= 40; n++ {
+		if got := strings.Count(a.body, fmt.Sprintf("id: %d\n", n)); got != 1 {
+			t.Errorf("event %d: got it %d times, want once", n, got)
+		}
+	}
+	moves := 0
+	for _, b := range servers {
+		moves += b.Moves()
+	}
+	if a.err != nil || moves != 1 {
+		t.Errorf("got %v and %d moves, want a complete answer that moved once", a.err, moves)
+	}
+}
+
+// A request that was handed over and could go on nowhere has run: it must not run again,
+// although no connection was had in the end.
+func TestRequestThatCannotGoOnDoesNotRunAgain(t *testing.T) {
+	s := newSite(t, platformtest.Service("models", "stream", 2, map[string]any{
+		"engine": map[string]any{"slots": 8, "kv_capacity": 444000, "moves": true},
+	}))
+	var servers []*platformtest.Server
+	for i := range 4 {
+		b := s.server(fmt.Sprint("i-", i), "models", 40)
+		b.Always(platformtest.Vanish)
+		servers = append(servers, b)
+	}
+	s.ready()
+	for _, b := range servers {
+		b.RefuseMoved()
+	}
+	a := s.send("POST", "/models/x", "prompt", "Token-Count", "20000,400")
+	runs := 0
+	for _, b := range servers {
+		for _, r := range b.Received() {
+			if r.Header.Get("Kv-From") == "" {
+				runs++
+			}
+		}
+	}
+	if a.err == nil || runs != 1 {
+		t.Errorf("got a whole answer (%v) and %d runs, want one that breaks off after one run; log:\n%s", a.err == nil, runs, s.logs)
+	}
+}
+
 func TestBrokenStreamDoesNotLookComplete(t *testing.T) {
 	s := newSite(t, platformtest.Service("models", "stream", 1, nil))
 	b := s.server("i-1", "models", 12)
--- a/ingress/attempt.go
+++ b/ingress/attempt.go
@@ -51,7 +51,8 @@
 // unanswered judges an attempt without an answer.
 func (x *call) unanswered(ctx context.Context, g *placement.Grant, err error) (again bool, v *verdict) {
 	var dial *upstream.DialError
-	unsent := errors.As(err, &dial)
+	var broken *upstream.BrokenError // a run that could not go on may wrap a DialError
+	unsent := !errors.As(err, &broken) && errors.As(err, &dial)
 	if !unsent {
 		x.mayRun = true
 	}
--- a/ingress/stream.go
+++ b/ingress/stream.go
@@ -126,7 +126,8 @@
 	to.Unsent(time.Now())
 	next, err := x.flow.Upstream.Send(ctx, g.Address(), x.outgoing(g.ID()))
 	if err != nil {
-		return x.brokenStream(ctx, g, err)
+		// The request has run, also if no connection was had to go on with it.
+		return x.brokenStream(ctx, g, &upstream.BrokenError{Address: g.Address(), Err: err})
 	}
 	defer next.Close()
 	if !x.goesOn(next) {
--- a/placement/roles.go
+++ b/placement/roles.go
@@ -50,9 +50,6 @@
 
 // wantsReader reports whether a request belongs to engines that read prompts.
 func (p *pool) wantsReader(a *Ask, pause float64) bool {
-	if a.Output <= shortOutput {
-		return true
-	}
 	return effort(a.Prompt, a.Prompt-a.Shared())*p.perToken > longRead*pause
 }
 
