--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -121,6 +121,9 @@
 	if g.gossip, err = gossip.New(s.VM, net.JoinHostPort(s.IP, strconv.Itoa(s.PeerPort)), g, g.logger); err != nil {
 		return err
 	}
+	for _, address := range s.Peers {
+		g.gossip.Add(address)
+	}
 	flow := ingress.NewFlow(ingress.Options{
 		Dialect: platform.Dialect(), View: g.view, Place: g.place, Upstream: g.upstream, Suspects: g.suspects,
 		Mover: platform.NewMover(g.upstream, g.logger),
--- a/ingress/attempt.go
+++ b/ingress/attempt.go
@@ -164,13 +164,16 @@
 	"Te": true, "Trailer": true, "Transfer-Encoding": true, "Upgrade": true, "Content-Length": true, "Expect": true, "Host": true,
 }
 
+// outgoingHead is about the length of a request's head, in bytes.
+const outgoingHead = 768
+
 // minLeft is the least deadline that is handed to a backend server.
 const minLeft = time.Millisecond
 
 // outgoing returns the request as it goes to a backend server.
 func (x *call) outgoing(instance string) *upstream.Request {
 	d, r := x.flow.Dialect, x.http
-	b := make([]byte, 0, 768+len(x.body)*b2i(len(x.body) <= 16<<10))
+	b := make([]byte, 0, outgoingHead+min(len(x.body), upstream.InlineBody))
 	b = append(b, r.Method...)
 	b = append(b, ' ')
 	b = append(b, r.RequestURI...)
@@ -207,13 +210,6 @@
 	}
 }
 
-func b2i(b bool) int {
-	if b {
-		return 1
-	}
-	return 0
-}
-
 // reserved reports whether a header is the router's alone to set.
 func (x *call) reserved(name string) bool {
 	d := x.flow.Dialect
--- a/ingress/dialect.go
+++ b/ingress/dialect.go
@@ -28,10 +28,7 @@
 	Expect      string // instance that alone may run the request
 	NotRun      string // the backend server did not run the request
 	Seal        string // of a backend server on its answer
-	RetryAfter  string // seconds, may have a fraction
-	ColdLeft    string // milliseconds that a backend server stays cold
-	Reserved    []string
-	EventStream string // media type of a stream
+	Reserved    []string // headers of a client that are not passed on
 }
 
 // meta is what a request's header says to the router.
--- a/ingress/flow.go
+++ b/ingress/flow.go
@@ -273,8 +273,7 @@
 			return v
 		}
 		x.last = v
-		var dial bool
-		if dial = v.cause == causeUnreachable; dial {
+		if v.cause == causeUnreachable {
 			unreached++
 			continue
 		}
@@ -316,7 +315,6 @@
 	causeUnsealed    = "unsealed"
 	causeTimeout     = "timeout"
 	causeLeft        = "client-left"
-	causeServer      = "server-failed"
 )
 
 // refuse answers with a status of the router's own.
--- a/placement/roles.go
+++ b/placement/roles.go
@@ -14,10 +14,11 @@
 // request moves to an engine that runs streams with its first event. Shared parts
 // of long prompts stay in the memory of few engines.
 const (
-	readerShare  = 0.52 // of the engines read prompts
-	leastEngines = 3    // with fewer, all do everything
-	longRead     = 0.06 // of the longest pause: a prompt that takes longer is read by a reader
-	shortOutput  = 64   // tokens up to which a stream has no pauses to speak of and ends where it began
+	readerShare  = 0.52  // of the engines read prompts
+	leastEngines = 3     // with fewer, all do everything
+	longRead     = 0.06  // of the longest pause: a prompt that takes longer is read by a reader
+	shortRead    = 0.035 // the same for short answers
+	shortOutput  = 64    // tokens up to which a stream has no pauses to speak of and ends where it began
 	rolesAge     = 50 * time.Millisecond
 	queueFull    = 0.60 // of the objective that may pass until a reader begins
 	queueSpare   = 0.20
@@ -50,7 +51,11 @@
 
 // wantsReader reports whether a request belongs to engines that read prompts.
 func (p *pool) wantsReader(a *Ask, pause float64) bool {
-	return effort(a.Prompt, a.Prompt-a.Shared())*p.perToken > longRead*pause
+	part := longRead
+	if a.Output <= shortOutput {
+		part = shortRead // it gains nothing where streams run
+	}
+	return effort(a.Prompt, a.Prompt-a.Shared())*p.perToken > part*pause
 }
 
 // Move returns a place at an engine that runs streams, for a request that was
--- a/upstream/exchange.go
+++ b/upstream/exchange.go
@@ -58,11 +58,13 @@
 	errNotHTTP11 = errors.New("answer is not HTTP/1.1")
 )
 
+// InlineBody is the longest body that is written before the answer is read, in bytes.
+const InlineBody = 16 << 10
+
 // Bounds of an answer.
 const (
 	maxStrayAnswers = 2
 	maxBodyBytes    = 16 << 20
-	inlineBody      = 16 << 10 // a longer body is written beside reading the answer
 )
 
 // Exchange is a request that was sent and whose answer is read. It must be closed.
@@ -99,7 +101,7 @@
 }
 
 func (x *Exchange) send(r *Request) error {
-	if len(r.Body) <= inlineBody {
+	if len(r.Body) <= InlineBody {
 		_, err := x.conn.Write(append(r.Head, r.Body...))
 		x.written = err == nil
 		return err
