--- a/ingress/dialect.go
+++ b/ingress/dialect.go
@@ -16,19 +16,19 @@
 // Dialect names the headers in which callers and backend servers say what a
 // router has to know. Names are in canonical form.
 type Dialect struct {
-	RequestID   string // of one attempt of a client, echoed by backend servers
-	Deadline    string // milliseconds that the client, or the router, will wait
-	Key         string // of a customer, never passed on
-	Customer    string // name of the customer, set by the router alone
-	Tokens      string // of the prompt, and the most to be generated
-	Parts       string // of the prompt, in order
-	OutputHint  string // tokens likely generated
-	LastEvent   string // a stream goes on after this event
-	MoveFrom    string // where a moved request's memory is: address and handle
-	Expect      string // instance that alone may run the request
-	NotRun      string // the backend server did not run the request
-	Seal        string // of a backend server on its answer
-	Reserved    []string // headers of a client that are not passed on
+	RequestID  string   // of one attempt of a client, echoed by backend servers
+	Deadline   string   // milliseconds that the client, or the router, will wait
+	Key        string   // of a customer, never passed on
+	Customer   string   // name of the customer, set by the router alone
+	Tokens     string   // of the prompt, and the most to be generated
+	Parts      string   // of the prompt, in order
+	OutputHint string   // tokens likely generated
+	LastEvent  string   // a stream goes on after this event
+	MoveFrom   string   // where a moved request's memory is: address and handle
+	Expect     string   // instance that alone may run the request
+	NotRun     string   // the backend server did not run the request
+	Seal       string   // of a backend server on its answer
+	Reserved   []string // headers of a client that are not passed on
 }
 
 // meta is what a request's header says to the router.
--- a/ingress/stream.go
+++ b/ingress/stream.go
@@ -39,7 +39,6 @@
 // streamBuffer is how much of a stream is read at once, in bytes.
 const streamBuffer = 4 << 10
 
-
 // pass passes a stream on. A stream that breaks off and may be resumed goes on
 // at another backend server after the last complete event.
 func (x *call) pass(ctx context.Context, g *placement.Grant, ex *upstream.Exchange) (again bool, v *verdict) {
