--- a/placement/window.go
+++ b/placement/window.go
@@ -25,6 +25,23 @@
 
 func (w *window) add(now time.Time) { w.times = append(w.times, now) }
 
+// advance empties the slots of a ring that lie between its newest one and a later one,
+// takes them off the total, and returns the newest.
+func advance(slots []float64, total *float64, at, to int64) int64 {
+	if to-at >= int64(len(slots)) {
+		clear(slots)
+		*total = 0
+		return to
+	}
+	for at < to {
+		at++
+		i := at % int64(len(slots))
+		*total -= slots[i]
+		slots[i] = 0
+	}
+	return at
+}
+
 // series counts amounts in slots of a fixed length over a sliding window.
 type series struct {
 	slots [seriesSlots]float64
@@ -40,16 +57,7 @@
 )
 
 func (s *series) move(slot int64) {
-	if slot-s.at >= seriesSlots {
-		*s = series{at: slot}
-		return
-	}
-	for s.at < slot {
-		s.at++
-		i := s.at % seriesSlots
-		s.total -= s.slots[i]
-		s.slots[i] = 0
-	}
+	s.at = advance(s.slots[:], &s.total, s.at, slot)
 }
 
 func (s *series) add(slot int64, amount float64) {
@@ -81,16 +89,7 @@
 		*a = amounts{base: now, span: span}
 	}
 	slot := int64(milliseconds(now.Sub(a.base)) / span * amountSlots)
-	if slot-a.at >= amountSlots {
-		a.slots, a.total, a.at = [amountSlots]float64{}, 0, slot
-		return
-	}
-	for a.at < slot {
-		a.at++
-		i := a.at % amountSlots
-		a.total -= a.slots[i]
-		a.slots[i] = 0
-	}
+	a.at = advance(a.slots[:], &a.total, a.at, slot)
 }
 
 func (a *amounts) add(now time.Time, span, value float64) {
