--- a/ingress/attempt.go
+++ b/ingress/attempt.go
@@ -21,7 +21,7 @@
 // final answer was passed on.
 func (x *call) attempt(ctx context.Context, g *placement.Grant) (again bool, v *verdict) {
 	x.flow.counts.attempts.Inc(1)
-	ex, err := x.flow.Upstream.Send(ctx, g.Address(), x.outgoing(g.ID()))
+	ex, err := x.flow.Upstream.Send(ctx, g.Address(), x.outgoing(g))
 	if err != nil {
 		return x.unanswered(ctx, g, err)
 	}
@@ -137,7 +137,7 @@
 		return false, nil
 	}
 	x.ask.Tried = append(x.ask.Tried, g.ID())
-	ex, err := x.flow.Upstream.Send(ctx, g.Address(), x.outgoing(g.ID()))
+	ex, err := x.flow.Upstream.Send(ctx, g.Address(), x.outgoing(g))
 	if err != nil {
 		x.unanswered(ctx, g, err)
 		return false, nil
@@ -171,7 +171,7 @@
 const minLeft = time.Millisecond
 
 // outgoing returns the request as it goes to a backend server.
-func (x *call) outgoing(instance string) *upstream.Request {
+func (x *call) outgoing(g *placement.Grant) *upstream.Request {
 	d, r := x.flow.Dialect, x.http
 	b := make([]byte, 0, outgoingHead+min(len(x.body), upstream.InlineBody))
 	b = append(b, r.Method...)
@@ -191,10 +191,13 @@
 	}
 	left := max(minLeft, time.Until(x.deadline))
 	b = appendHeader(b, d.Deadline, strconv.FormatInt(left.Milliseconds(), 10))
-	b = appendHeader(b, d.Expect, instance)
+	b = appendHeader(b, d.Expect, g.ID())
 	if x.customer != nil {
 		b = appendHeader(b, d.Customer, x.customer.Name)
 	}
+	if g.Fetch() != "" && x.movedFrom == "" {
+		b = appendHeader(b, d.Fetch, g.Fetch())
+	}
 	if x.movedFrom != "" {
 		b = appendHeader(b, d.MoveFrom, x.movedFrom)
 	}
@@ -214,7 +217,7 @@
 func (x *call) reserved(name string) bool {
 	d := x.flow.Dialect
 	switch name {
-	case d.Deadline, d.Expect, d.Customer, d.Key, d.MoveFrom:
+	case d.Deadline, d.Expect, d.Customer, d.Key, d.Fetch, d.MoveFrom:
 		return true
 	case d.LastEvent:
 		return x.stream != nil
--- a/ingress/dialect.go
+++ b/ingress/dialect.go
@@ -24,6 +24,7 @@
 	Parts      string   // of the prompt, in order
 	OutputHint string   // tokens likely generated
 	LastEvent  string   // a stream goes on after this event
+	Fetch      string   // engine to take shared parts of the prompt from
 	MoveFrom   string   // where a moved request's memory is: address and handle
 	Expect     string   // instance that alone may run the request
 	NotRun     string   // the backend server did not run the request
--- a/ingress/stream.go
+++ b/ingress/stream.go
@@ -113,7 +113,7 @@
 	x.movedFrom = m.From
 	defer func() { x.movedFrom = "" }()
 	if m.Copied {
-		if next, err := x.flow.Upstream.Send(ctx, to.Address(), x.outgoing(to.ID())); err == nil {
+		if next, err := x.flow.Upstream.Send(ctx, to.Address(), x.outgoing(to)); err == nil {
 			defer next.Close()
 			if x.goesOn(next) {
 				x.end(g, placement.Done)
@@ -123,7 +123,7 @@
 		}
 	}
 	to.Unsent(time.Now())
-	next, err := x.flow.Upstream.Send(ctx, g.Address(), x.outgoing(g.ID()))
+	next, err := x.flow.Upstream.Send(ctx, g.Address(), x.outgoing(g))
 	if err != nil {
 		// The request has run, also if no connection was had to go on with it.
 		return x.brokenStream(ctx, g, &upstream.BrokenError{Address: g.Address(), Err: err})
--- a/placement/grant.go
+++ b/placement/grant.go
@@ -26,6 +26,7 @@
 	customer  *customer
 	id        string
 	address   string
+	fetch     string
 	sentAt    time.Time
 	unread    int
 	effort    float64       // tokens that this is worth
@@ -43,6 +44,9 @@
 // Address returns the backend server's IP number and port.
 func (g *Grant) Address() string { return g.address }
 
+// Fetch returns the address of an engine to fetch shared parts of the prompt from, or "".
+func (g *Grant) Fetch() string { return g.fetch }
+
 // Expected returns the time in which the first event was expected.
 func (g *Grant) Expected() time.Duration { return g.expected }
 
--- a/placement/pool.go
+++ b/placement/pool.go
@@ -125,6 +125,7 @@
 // choice is a server that can take a request now.
 type choice struct {
 	server  *server
+	source  *server       // engine that the missing shared parts are fetched from, or nil
 	unread  int           // prompt tokens that it has to read
 	effort  float64       // tokens that this is worth
 	missing int           // shared tokens among them that another engine holds
@@ -241,7 +242,7 @@
 		seen.Full++
 		return
 	}
-	c := p.weigh(now, a, s, s == v.home, running)
+	c := p.weigh(now, a, s, v.home, s == v.home, running)
 	if !v.room(s, &c, running) {
 		if seen.Busy++; seen.First == 0 || c.first < seen.First {
 			seen.First = c.first
@@ -279,13 +280,17 @@
 }
 
 // weigh returns what it takes and costs to send a request to a server.
-func (p *pool) weigh(now time.Time, a *Ask, s *server, home bool, running int) choice {
+func (p *pool) weigh(now time.Time, a *Ask, s, holder *server, home bool, running int) choice {
 	known := s.parts.known(a.Parts)
 	if home {
 		known = a.Shared()
 	}
 	c := choice{server: s, unread: max(1, a.Prompt-known)}
 	c.missing = a.Shared() - known
+	if c.missing > 0 && holder != nil && holder != s {
+		c.source = holder
+		c.unread = max(1, a.Prompt-a.Shared())
+	}
 	c.effort = effort(a.Prompt, c.unread)
 	read := s.readTime(c.effort)
 	c.read = milliseconds(read)
