An engine that is home to shared parts fetches what yielded there from where they went last

Cause: cache events show that a home loses parts 3 to 6 s after their last use, while the engine that a request moved to holds them until its stream ends and longer. Each router remembers, by part, the engine beside its home that it sent or moved a request to. Ruled out: holding parts with pins, which would hold the request's own, longer part as well and reserve memory.

--- a/placement/placement.go
+++ b/placement/placement.go
@@ -312,6 +312,9 @@
 		placement: p, server: s, ask: a, customer: w.from,
 		id: s.ID, address: s.Address, sentAt: now, unread: c.unread, effort: c.effort, expected: c.first,
 	}
+	if !c.home {
+		pl.hold(a.Parts, s)
+	}
 	if c.source != nil {
 		g.fetch = c.source.Address
 	}
--- a/placement/pool.go
+++ b/placement/pool.go
@@ -68,10 +68,11 @@
 	pause    float64 // longest pause between events that is in time, in milliseconds, as last asked for
 	split    bool    // some engines read prompts for the others
 	assigned time.Time
+	holders  map[uint64]*server // by part: engine beside its home that held it last
 }
 
 func newPool(p *Placement, s *route.Service) *pool {
-	return &pool{placement: p, service: s, perToken: firstPerToken, base: firstBase, pause: milliseconds(defaultPause), fits: map[string]fit{}}
+	return &pool{placement: p, service: s, perToken: firstPerToken, base: firstBase, pause: milliseconds(defaultPause), fits: map[string]fit{}, holders: map[uint64]*server{}}
 }
 
 // partTokens is how much of an engine's memory is believed to hold prompt parts.
@@ -112,6 +113,28 @@
 	return best
 }
 
+// maxHolders bounds how many parts are remembered with their holder.
+const maxHolders = 4096
+
+// holder returns the engine beside its home that a prompt's last shared part was last sent or moved to, or nil.
+func (p *pool) holder(parts []Part) *server {
+	if len(parts) == 0 {
+		return nil
+	}
+	return p.holders[parts[len(parts)-1].ID]
+}
+
+// hold takes in that an engine holds a prompt's shared parts.
+func (p *pool) hold(parts []Part, s *server) {
+	if len(parts) == 0 {
+		return
+	}
+	if len(p.holders) >= maxHolders {
+		clear(p.holders)
+	}
+	p.holders[parts[len(parts)-1].ID] = s
+}
+
 // mix returns a hash of two hashes.
 func mix(a, b uint64) uint64 {
 	x := a ^ (b + 0x9e3779b97f4a7c15 + a<<6 + a>>2)
@@ -125,6 +148,7 @@
 // choice is a server that can take a request now.
 type choice struct {
 	server  *server
+	home    bool          // of the shared parts
 	source  *server       // engine that the missing shared parts are fetched from, or nil
 	unread  int           // prompt tokens that it has to read
 	effort  float64       // tokens that this is worth
@@ -285,8 +309,13 @@
 	if home {
 		known = a.Shared()
 	}
-	c := choice{server: s, unread: max(1, a.Prompt-known)}
+	c := choice{server: s, home: home, unread: max(1, a.Prompt-known)}
 	c.missing = a.Shared() - known
+	if home {
+		if other := p.holder(a.Parts); other != nil && other != s && other.listed {
+			c.source = other
+		}
+	}
 	if c.missing > 0 && holder != nil && holder != s {
 		c.source = holder
 		c.unread = max(1, a.Prompt-a.Shared())
--- a/placement/roles.go
+++ b/placement/roles.go
@@ -87,6 +87,7 @@
 	if best == nil {
 		return nil
 	}
+	pl.hold(g.ask.Parts, best)
 	best.running++
 	best.tokens += g.ask.Prompt + g.ask.Output
 	return &Grant{
