Streams with the same shared parts move to the same engine, and their home fetches from there

Cause: a router knew only by its own requests where parts were; of six routers each saw a sixth. Rendezvous over the engines that run streams tells all of them, with nothing exchanged. A stream goes there unless it is more loaded than the least loaded one by a quarter.

--- a/placement/pool.go
+++ b/placement/pool.go
@@ -312,7 +312,7 @@
 	c := choice{server: s, home: home, unread: max(1, a.Prompt-known)}
 	c.missing = a.Shared() - known
 	if home {
-		if other := p.holder(a.Parts); other != nil && other != s && other.listed {
+		if other := cmp.Or(p.holder(a.Parts), p.home(now, a.Parts, !s.reader)); other != nil && other != s && other.listed {
 			c.source = other
 		}
 	}
--- a/placement/roles.go
+++ b/placement/roles.go
@@ -23,6 +23,7 @@
 	queueFull    = 0.60 // of the objective that may pass until a reader begins
 	queueSpare   = 0.20
 	fullMemory   = 0.92 // of a stream engine's memory
+	homeLoad     = 0.25 // load beyond that of others with which a stream still goes where its shared parts go
 )
 
 // assign gives the usable engines their roles; all routers that see the same
@@ -69,6 +70,7 @@
 	if !pl.split || !g.server.reader || g.ask.Output <= shortOutput {
 		return nil
 	}
+	home := pl.home(now, g.ask.Parts, false)
 	var best *server
 	least := 0.0
 	for _, s := range pl.servers {
@@ -80,6 +82,9 @@
 			continue
 		}
 		load := float64(tokens)/float64(pl.service.Memory) + float64(running)/float64(s.slotCount())
+		if s == home {
+			load -= homeLoad
+		}
 		if best == nil || load < least {
 			best, least = s, load
 		}
