A flood is refused at the door: connections are bounded, refusals cheap, what clients gave up is not read

Mend: at most 256 connections whose first request is unread, the rest refused with one write; six tenths of the descriptors for callers; beyond half of these a refusal closes its connection; keep-alive, watcher and buffer only for connections that wait. Tests fail with the bounds taken out.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -51,6 +51,7 @@
 	registerPause   = 300 * time.Millisecond
 	exitMargin      = 700 * time.Millisecond // before the platform ends the process
 	boundShare      = 0.85                   // of a bound over the fleet that is used
+	callersPart     = 0.6                    // of the descriptors that callers' connections may take
 	memoryPart      = 0.6                    // of the memory limit from which the collector works harder
 )
 
@@ -129,7 +130,7 @@
 		Mover: platform.NewMover(g.upstream, g.logger),
 		Clock: boottime, Lease: s.Revoke - leaseMargin, Settle: s.ConfigApply, Logger: g.logger, Metrics: g.metrics,
 	})
-	if g.ingress, err = ingress.NewServer(s.Listen, flow, g.logger); err != nil {
+	if g.ingress, err = ingress.NewServer(s.Listen, int(callersPart*float64(s.Descriptors)), flow, g.logger); err != nil {
 		return err
 	}
 	g.ready = &fasthttp.Server{Handler: g.answer, Logger: printer{g.logger}, NoDefaultServerHeader: true}
--- a/gateway/site_test.go
+++ b/gateway/site_test.go
@@ -23,7 +23,7 @@
 
 // site is a store, backend servers and one gateway.
 type site struct {
-	t       *testing.T
+	t       testing.TB
 	store   *platformtest.Store
 	gateway *gateway.Gateway
 	logs    *lockedBuffer
@@ -32,7 +32,7 @@
 	servers int
 }
 
-func free(t *testing.T) int {
+func free(t testing.TB) int {
 	t.Helper()
 	c, err := net.ListenUDP("udp4", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
 	if err != nil {
@@ -42,12 +42,13 @@
 	return c.LocalAddr().(*net.UDPAddr).Port
 }
 
-func startGateway(t *testing.T, store *platformtest.Store, name string) (*gateway.Gateway, *lockedBuffer, context.CancelFunc) {
+func startGateway(t testing.TB, store *platformtest.Store, name string) (*gateway.Gateway, *lockedBuffer, context.CancelFunc) {
 	t.Helper()
 	text := fmt.Sprintf(`[vm]
 name = %s
 zone = zone-a
 ip = 127.0.0.1
+descriptors = 200
 [callers]
 listen = 127.0.0.1:0
 ready-listen = 127.0.0.1:0
@@ -73,7 +74,7 @@
 	return g, logs, stop
 }
 
-func newSite(t *testing.T, services ...map[string]any) *site {
+func newSite(t testing.TB, services ...map[string]any) *site {
 	t.Helper()
 	s := &site{t: t, store: platformtest.NewStore(), client: &http.Client{Transport: &http.Transport{DisableCompression: true}}}
 	t.Cleanup(s.store.Close)
--- a/ingress/conn.go
+++ b/ingress/conn.go
@@ -5,6 +5,7 @@
 import (
 	"bufio"
 	"bytes"
+	"cmp"
 	"errors"
 	"io"
 	"net"
@@ -21,7 +22,22 @@
 	server *Server
 	watch  watcher
 	reader *bufio.Reader
-	since  time.Time // the last request ended, or the connection was opened
+	since  time.Time // the connection was accepted
+
+	opening bool // its first request is yet to be read
+	alive   bool // keep-alive is set
+	ended   bool // the client closed it with no request waiting
+}
+
+// clientKeepAlive finds clients that are gone without a word while their answer is awaited.
+var clientKeepAlive = net.KeepAliveConfig{Enable: true, Idle: 5 * time.Second, Interval: 2 * time.Second, Count: 3}
+
+// heed calls left when the client closes the connection while its answer is awaited.
+func (c *conn) heed(left func()) {
+	if t, ok := c.Conn.(*net.TCPConn); ok && !c.alive {
+		c.alive = t.SetKeepAliveConfig(clientKeepAlive) == nil
+	}
+	c.watch.start(left)
 }
 
 // watcher reads from a connection and, while an answer is awaited, notices its end.
@@ -55,6 +71,24 @@
 	return w.conn.Read(b)
 }
 
+// await waits for a byte, which is then read first.
+func (w *watcher) await() error {
+	w.mu.Lock()
+	held, err := w.held, w.err
+	w.mu.Unlock()
+	if held || err != nil {
+		return err
+	}
+	n, err := w.conn.Read(w.byte[:])
+	if n == 0 {
+		return cmp.Or(err, io.ErrNoProgress)
+	}
+	w.mu.Lock()
+	w.held = true
+	w.mu.Unlock()
+	return nil
+}
+
 // past is a deadline that ends a read at once.
 var past = time.Unix(1, 0)
 
@@ -238,6 +272,10 @@
 
 // finish closes the connection so that the client still gets the last answer.
 func (c *conn) finish() {
+	if c.ended {
+		c.Close()
+		return
+	}
 	if t, ok := c.Conn.(*net.TCPConn); ok && t.CloseWrite() == nil {
 		c.SetReadDeadline(time.Now().Add(lingerTime))
 		io.CopyN(io.Discard, c.Conn, 1<<20)
--- a/ingress/flow.go
+++ b/ingress/flow.go
@@ -8,6 +8,7 @@
 	"math/rand/v2"
 	"net/http"
 	"strings"
+	"sync"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -91,6 +92,7 @@
 	customer *route.Customer
 	proofAge time.Duration
 
+	heed     func() // notices from now on when the client leaves
 	arrived  time.Time
 	deadline time.Time
 	digest   uint64
@@ -127,7 +129,7 @@
 	}
 	ctx, cancel := context.WithDeadline(context.Background(), x.deadline)
 	defer cancel()
-	c.watch.start(cancel)
+	x.heed = sync.OnceFunc(func() { c.heed(cancel) })
 	v := x.run(ctx)
 	c.watch.stop()
 	if v != nil {
@@ -256,6 +258,7 @@
 		return &verdict{status: 503, cause: "crashes-servers", after: x.route.Timeout}
 	}
 	f.Place.Arrived(x.arrived, x.ask)
+	x.ask.Waits = x.heed
 	unreached := 0
 	for x.tries < max(1, x.route.MaxAttempts) && unreached < maxUnreached {
 		grant, refusal := f.Place.Admit(ctx, x.ask)
@@ -266,6 +269,7 @@
 			grant.Unsent(time.Now())
 			return &verdict{status: 502, cause: causeLeft}
 		}
+		x.heed()
 		x.ask.Tried = append(x.ask.Tried, grant.ID())
 		x.queued = time.Since(x.arrived)
 		again, v := x.attempt(ctx, grant)
--- a/ingress/log.go
+++ b/ingress/log.go
@@ -15,12 +15,13 @@
 type counters struct {
 	scope    tally.Scope
 	attempts tally.Counter
+	shed     tally.Counter // requests that were not read
 	first    tally.Histogram
 }
 
 func newCounters(s tally.Scope) counters {
 	buckets := tally.MustMakeExponentialDurationBuckets(time.Millisecond, 2, 15)
-	return counters{scope: s, attempts: s.Counter("attempts"), first: s.Histogram("answer_seconds", buckets)}
+	return counters{scope: s, attempts: s.Counter("attempts"), shed: s.Counter("requests_shed"), first: s.Histogram("answer_seconds", buckets)}
 }
 
 func (c *counters) refused(status int) {
--- a/ingress/reply.go
+++ b/ingress/reply.go
@@ -130,5 +130,8 @@
 	if v.status == http.StatusServiceUnavailable && v.after > 0 {
 		header = appendHeader(header, "Retry-After", strconv.FormatFloat(v.after.Seconds(), 'f', 3, 64))
 	}
+	if o.conn.server != nil && o.conn.server.door.crowded() {
+		o.close = true
+	}
 	o.whole(v.status, header, body)
 }
--- a/ingress/server.go
+++ b/ingress/server.go
@@ -3,9 +3,9 @@
 // This file defines Server, which accepts clients' connections.
 
 import (
-	"bufio"
 	"context"
 	"errors"
+	"io"
 	"net"
 	"sync"
 	"sync/atomic"
@@ -24,9 +24,8 @@
 var defaultLimits = limits{headBytes: 16 << 10, bodyBytes: 4 << 20, head: 3 * time.Second, idle: 15 * time.Second}
 
 const (
-	clientBuffer = 17 << 10
-	stopIdle     = 2500 * time.Millisecond // after the stop began, idle connections are closed
-	stopListen   = 3 * time.Second         // and the listener, when the balancer sends nobody any more
+	stopIdle   = 2500 * time.Millisecond // after the stop began, idle connections are closed
+	stopListen = 3 * time.Second         // and the listener, when the balancer sends nobody any more
 )
 
 // Server accepts connections of clients and serves their requests in a Flow.
@@ -37,18 +36,21 @@
 	done     chan struct{}
 	stopping atomic.Bool
 	inFlight atomic.Int64
+	door     door
 
 	mu    sync.Mutex
 	conns map[*conn]bool // whether a request is in flight
 }
 
-// NewServer listens for clients.
-func NewServer(address string, f *Flow, logger zerolog.Logger) (*Server, error) {
-	ln, err := net.Listen("tcp4", address)
+// NewServer listens for clients, of whose connections so many may be open.
+func NewServer(address string, connections int, f *Flow, logger zerolog.Logger) (*Server, error) {
+	// Keep-alive is set on a connection when a request on it is first waited for: most
+	// connections in a flood carry one request that is refused at once.
+	ln, err := (&net.ListenConfig{KeepAlive: -1}).Listen(context.Background(), "tcp4", address)
 	if err != nil {
 		return nil, err
 	}
-	return &Server{flow: f, listener: ln, logger: logger, done: make(chan struct{}), conns: map[*conn]bool{}}, nil
+	return &Server{flow: f, listener: ln, logger: logger, done: make(chan struct{}), conns: map[*conn]bool{}, door: door{limit: int64(connections)}}, nil
 }
 
 // Address returns the address that clients reach.
@@ -112,19 +114,22 @@
 			time.Sleep(acceptPause)
 			continue
 		}
-		if t, ok := nc.(*net.TCPConn); ok {
-			t.SetKeepAliveConfig(net.KeepAliveConfig{Enable: true, Idle: 5 * time.Second, Interval: 2 * time.Second, Count: 3})
+		if !s.door.admits() {
+			s.shed(s.door.refuse(nc))
+			continue
 		}
+		s.door.enter()
 		go s.serve(nc)
 	}
 }
 
 func (s *Server) serve(nc net.Conn) {
-	c := &conn{Conn: nc, server: s, since: time.Now()}
+	c := &conn{Conn: nc, server: s, since: time.Now(), opening: true}
 	c.watch = newWatcher(nc)
-	c.reader = bufio.NewReaderSize(&c.watch, clientBuffer)
+	s.door.lend(c)
 	s.mark(c, false)
 	defer func() {
+		s.door.leave(c)
 		s.mu.Lock()
 		delete(s.conns, c)
 		s.mu.Unlock()
@@ -132,6 +137,17 @@
 	for s.serveOne(c) {
 	}
 	c.finish()
+	if c.reader != nil {
+		s.door.reclaim(c)
+	}
+}
+
+// shed takes in that a request was refused unread.
+func (s *Server) shed(err error) {
+	s.flow.counts.shed.Inc(1)
+	if err != nil {
+		s.logger.Debug().Err(err).Msg("refusal-lost")
+	}
 }
 
 func (s *Server) mark(c *conn, busy bool) {
@@ -144,7 +160,8 @@
 func (s *Server) serveOne(c *conn) bool {
 	l := s.flow.limits()
 	c.SetReadDeadline(time.Now().Add(l.idle))
-	if _, err := c.reader.Peek(1); err != nil {
+	if err := s.awaitRequest(c); err != nil {
+		c.ended = errors.Is(err, io.EOF)
 		return false
 	}
 	s.mark(c, true)
@@ -159,8 +176,33 @@
 		return false
 	}
 	c.SetReadDeadline(time.Time{})
+	late := c.opening && time.Since(c.since) > stalled
+	s.door.read(c)
+	if late && c.left() {
+		s.shed(errLeftUnread)
+		return false
+	}
 	s.inFlight.Add(1)
 	defer s.inFlight.Add(-1)
 	ok := s.flow.serve(c, r, body)
 	return ok && !s.stopping.Load()
 }
+
+// errLeftUnread says that a client gave its request up before it was read.
+var errLeftUnread = errors.New("the client left before its request was read")
+
+// awaitRequest waits for the first byte of a request.
+func (s *Server) awaitRequest(c *conn) error {
+	if c.reader != nil {
+		if c.opening || c.reader.Buffered() > 0 {
+			_, err := c.reader.Peek(1)
+			return err
+		}
+		s.door.reclaim(c)
+	}
+	if err := c.watch.await(); err != nil {
+		return err
+	}
+	s.door.lend(c)
+	return nil
+}
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -26,6 +26,7 @@
 	Deadline  time.Time
 	Late      bool     // the objective passed before the request arrived here
 	Tried     []string // backend servers that this request was sent to
+	Waits     func()   // called when the request begins to wait for a server, if not nil
 
 	shares int // tokens of Parts, once counted
 }
@@ -294,6 +295,9 @@
 	w.granted = make(chan *Grant, 1)
 	pl.waiting = append(pl.waiting, w)
 	p.mu.Unlock()
+	if a.Waits != nil {
+		a.Waits()
+	}
 	return p.await(ctx, pl, w, patience)
 }
 
--- a/settings/gateway.go
+++ b/settings/gateway.go
@@ -30,6 +30,7 @@
 
 	StoreAddress string
 	MemoryMB     int
+	Descriptors  int // files and sockets that the process may have open
 
 	Contact      time.Duration // without trouble for so long, time bounds hold
 	ConfigApply  time.Duration
@@ -63,6 +64,7 @@
 	{"vm", "zone", "", "availability zone of this VM", gatewayText(func(g *Gateway) *string { return &g.Zone }, nameRule)},
 	{"vm", "ip", "", "IP number of this VM", gatewayText(func(g *Gateway) *string { return &g.IP }, ipRule)},
 	{"vm", "memory-mb", "256", "memory that the process may take, in MB", gatewayCount(func(g *Gateway) *int { return &g.MemoryMB }, 32, 1<<20)},
+	{"vm", "descriptors", "4096", "files and sockets that the process may have open", gatewayCount(func(g *Gateway) *int { return &g.Descriptors }, 64, 1<<20)},
 	{"log", "level", "info", "debug, info, warn or error", gatewayText(func(g *Gateway) *string { return &g.LogLevel }, levelRule)},
 	{"callers", "listen", "", "IP number and port for callers", gatewayText(func(g *Gateway) *string { return &g.Listen }, addressRule)},
 	{"callers", "ready-listen", "", "IP number and port where the balancer asks", gatewayText(func(g *Gateway) *string { return &g.ReadyListen }, addressRule)},
