In a large fleet two routers of each zone ask the store and tell the others

With more than 20 routers two of each zone, the first by name among those alive, ask; the others take rows and proofs from their datagrams (each 300 ms, and at once after a change), and ask by themselves when rows are missing between what they know and what they hear, when no teller that reaches the store was heard for 1.2 s, and every 20 s. Ruled out: only longer calls for changes: each change still costs a call from each router.

--- a/follow/follow.go
+++ b/follow/follow.go
@@ -15,6 +15,7 @@
 
 // Row is one row of a table.
 type Row struct {
+	_       struct{} `cbor:",toarray"`
 	Key     string
 	Value   []byte
 	Version uint64
@@ -58,6 +59,8 @@
 	Wait    func() time.Duration // longest time that the store holds a call for changes
 	Timeout time.Duration        // beyond that, without an answer
 	Pause   func() time.Duration // after changes, before the next call, so that more of them come with it
+	Rests   func() bool          // others ask the store and tell this follower; nil if it asks itself
+	Changed func()               // called after changes, if not nil
 	Clock   func() time.Duration
 	Logger  zerolog.Logger
 }
@@ -67,14 +70,21 @@
 // Invariant: the table takes in changes in the order of the store's versions, each once.
 type Follower struct {
 	options Options
-	known   bool
 	failing bool
 	failed  atomic.Int64  // clock reading of the last failure
 	version atomic.Uint64 // up to which the table is known
+	newest  atomic.Uint64 // version of the newest row that was taken in
 	done    chan struct{}
 
 	mu      sync.Mutex // held while the table takes rows in
-	behind  time.Duration
+	known   bool
+	spans   []span        // of the last answers, to be told
+	heard   time.Duration // clock reading at the last news
+	asked   time.Duration // clock reading at the last call
+	wanted  bool          // others are ahead: ask now
+	wake    chan struct{}
+	ahead   uint64        // newest row that another follower has
+	behind  time.Duration // clock reading since when this one lacks it, 0 if it does not
 	offset  time.Duration // the store's clock is ahead of this one by no more
 	offsets bool          // offset is known
 	nudging atomic.Bool
@@ -82,7 +92,7 @@
 
 // New returns a Follower that knows nothing.
 func New(o Options) *Follower {
-	f := &Follower{options: o, done: make(chan struct{})}
+	f := &Follower{options: o, done: make(chan struct{}), wake: make(chan struct{}, 1)}
 	f.failed.Store(int64(-time.Hour))
 	return f
 }
@@ -96,6 +106,15 @@
 // Version returns the version of the store up to which the table is known.
 func (f *Follower) Version() uint64 { return f.version.Load() }
 
+// Newest returns the version of the newest row that was taken in.
+func (f *Follower) Newest() uint64 { return f.newest.Load() }
+
+func (f *Follower) see(rows []Row) {
+	for _, r := range rows {
+		f.newest.Store(max(f.newest.Load(), r.Version))
+	}
+}
+
 // Pauses after a failed call.
 const (
 	firstPause = 40 * time.Millisecond
@@ -107,6 +126,14 @@
 	defer close(f.done)
 	pause := firstPause
 	for ctx.Err() == nil {
+		if f.resting() {
+			select {
+			case <-ctx.Done():
+			case <-f.wake:
+			case <-time.After(restLook):
+			}
+			continue
+		}
 		changed, err := f.step()
 		wait := time.Duration(0)
 		switch {
@@ -117,7 +144,7 @@
 			}
 		case errors.Is(err, ErrHistory):
 			f.options.Logger.Info().Str("table", f.options.Name).Uint64("version", f.Version()).Msg("history-dropped")
-			f.known = false
+			f.forget()
 		default:
 			f.note(err)
 			wait = pause/2 + rand.N(pause)
@@ -143,7 +170,11 @@
 func (f *Follower) step() (changed bool, err error) {
 	o := &f.options
 	began := o.Clock()
-	if !f.known {
+	f.mu.Lock()
+	known := f.known
+	f.asked, f.wanted = began, false
+	f.mu.Unlock()
+	if !known {
 		b, err := o.Source.Rows(o.Name, o.Timeout)
 		if err != nil {
 			return false, err
@@ -153,17 +184,20 @@
 		f.regained()
 		return true, nil
 	}
-	wait := o.Wait()
-	if f.failing {
-		wait = 0 // learn at once whether the store is back
+	wait, deaf := o.Wait(), deafTime
+	if f.failing || o.Rests != nil && o.Rests() {
+		wait, deaf = 0, 0 // learn at once whether the store is back, or what is new
 	}
 	b, err := o.Source.Changes(o.Name, f.Version(), wait, o.Timeout)
 	if err != nil {
 		return false, err
 	}
 	f.take(b)
-	f.prove(began, b, deafTime)
+	f.prove(began, b, deaf)
 	f.regained()
+	if len(b.Rows) > 0 && o.Changed != nil {
+		o.Changed()
+	}
 	return len(b.Rows) > 0, nil
 }
 
@@ -171,8 +205,16 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.options.Table.Reset(b.Rows)
+	f.see(b.Rows)
 	f.version.Store(b.Version)
-	f.known = true
+	f.known, f.spans = true, nil
+}
+
+// forget makes the next call read the whole table.
+func (f *Follower) forget() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.known = false
 }
 
 // take takes in changes, but for those that came with an earlier call.
@@ -187,7 +229,9 @@
 		}
 	}
 	f.options.Table.Change(fresh)
+	f.see(fresh)
 	f.version.Store(max(known, b.Version))
+	f.keep(known, fresh)
 }
 
 // deafTime is for how long a call for changes may hear nothing while changes are made.
@@ -236,19 +280,29 @@
 // taken to hear nothing.
 const nudgeAfter = 250 * time.Millisecond
 
-// Nudge takes in the version up to which another follower knows the table. If this one
+// Nudge takes in the version of the newest row that another follower has. If this one
 // stays behind, it asks the store beside the call in progress.
 func (f *Follower) Nudge(version uint64) {
 	f.mu.Lock()
 	now := f.options.Clock()
+	f.ahead = max(f.ahead, version)
 	switch {
-	case version <= f.version.Load():
+	case f.ahead <= f.version.Load():
 		f.behind = 0
 	case f.behind == 0:
 		f.behind = now
 	}
 	late := f.behind != 0 && now-f.behind > nudgeAfter+f.options.Pause()
+	rests := f.options.Rests != nil && f.options.Rests()
+	f.wanted = f.wanted || late && rests
 	f.mu.Unlock()
+	if late && rests {
+		select {
+		case f.wake <- struct{}{}:
+		default: // it is awake
+		}
+		return
+	}
 	if !late || f.nudging.Swap(true) {
 		return
 	}
--- a/follow/follow_test.go
+++ b/follow/follow_test.go
@@ -216,3 +216,88 @@
 	b.Rows = []follow.Row{{Key: "k", Version: b.Version}}
 	return b, nil
 }
+
+// counted counts the calls that a source gets.
+type counted struct {
+	*source
+	mu    sync.Mutex
+	calls int
+}
+
+func (c *counted) Changes(table string, after uint64, wait, timeout time.Duration) (follow.Batch, error) {
+	c.mu.Lock()
+	c.calls++
+	c.mu.Unlock()
+	return c.source.Changes(table, after, wait, timeout)
+}
+
+func (c *counted) count() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.calls
+}
+
+// startResting starts a follower that leaves asking to others, and waits until it knows the table.
+func startResting(t *testing.T, s *source) (*follow.Follower, *table, *counted) {
+	t.Helper()
+	began := time.Now()
+	clock := func() time.Duration { return time.Since(began) }
+	s.now = func() time.Duration { return clock() + time.Hour }
+	c, x := &counted{source: s}, &table{values: map[string]uint64{}}
+	f := follow.New(follow.Options{
+		Name: "t", Source: c, Table: x, Wait: func() time.Duration { return 10 * time.Millisecond }, Timeout: time.Second,
+		Pause: func() time.Duration { return 0 }, Rests: func() bool { return true }, Clock: clock, Logger: zerolog.Nop(),
+	})
+	ctx, stop := context.WithCancel(context.Background())
+	t.Cleanup(func() {
+		stop()
+		<-f.Done()
+	})
+	go f.Run(ctx)
+	if !within(func() bool { x.mu.Lock(); defer x.mu.Unlock(); return x.resets == 1 }) {
+		t.Fatal("the table was not read")
+	}
+	return f, x, c
+}
+
+func TestNewsTakeThePlaceOfCalls(t *testing.T) {
+	s := &source{rows: map[string]uint64{}}
+	f, x, c := startResting(t, s)
+	asker, y := start(t, s)
+	if !within(func() bool { y.mu.Lock(); defer y.mu.Unlock(); return y.resets == 1 }) {
+		t.Fatal("the table was not read")
+	}
+	for _, key := range []string{"a", "b", "a"} {
+		v := s.put(key)
+		if !within(func() bool { f.Hear(asker.News()); return x.holds(key, v) }) {
+			t.Fatalf("the change of %q did not arrive by news", key)
+		}
+	}
+	if got := c.count(); got != 0 {
+		t.Errorf("got %d calls of the store from a follower that is told all, want none", got)
+	}
+}
+
+func TestMissedNewsAreAskedFor(t *testing.T) {
+	s := &source{rows: map[string]uint64{}}
+	f, x, c := startResting(t, s)
+	v := s.put("a")
+	gap := follow.News{Table: "t", From: v, To: v, Newest: v}
+	others := func() { f.Nudge(0) } // most others lack it too
+	if !within(func() bool { f.Hear(gap); others(); return x.holds("a", v) }) {
+		t.Fatal("a follower did not ask for what the news had left out")
+	}
+	if got := c.count(); got == 0 {
+		t.Error("got no call of the store, want one for the gap")
+	}
+}
+
+func TestFollowerWithoutNewsAsks(t *testing.T) {
+	s := &source{rows: map[string]uint64{}}
+	f, x, _ := startResting(t, s)
+	v := s.put("a")
+	lost := follow.News{Table: "t", Trouble: time.Millisecond} // its teller cannot reach the store
+	if !within(func() bool { f.Hear(lost); return x.holds("a", v) }) {
+		t.Error("a follower whose teller lost the store did not ask by itself")
+	}
+}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -37,8 +37,9 @@
 // Timing of a gateway.
 const (
 	configWait      = 1300 * time.Millisecond // a call for changes proves the configuration this often
-	sharedWait      = 2500 * time.Millisecond // the same where many routers tell each other of their proofs
-	manyRouters     = 20
+	sharedWait      = 700 * time.Millisecond  // the same where few routers ask for all
+	manyRouters     = 20                      // from which a few of each zone ask the store and tell the others
+	zoneAskers      = 2                       // routers of a zone that ask then
 	serversWait     = 4000 * time.Millisecond
 	feedPause       = 5 * time.Millisecond // for each router, between calls that bring changes
 	longFeedPause   = 700 * time.Millisecond
@@ -79,6 +80,7 @@
 	incarnation uint64
 	leaving     atomic.Bool
 	routers     atomic.Int64 // that could exist
+	rests       atomic.Bool  // others of the zone ask the store
 	done        chan struct{}
 }
 
@@ -119,7 +121,7 @@
 	g.servers = &serverTable{place: g.place, trouble: g.troubled, logger: g.logger, missing: map[string]time.Time{}}
 	g.follower.servers = g.follow(platform.ServerTable, g.servers, g.serversWait)
 	var err error
-	if g.gossip, err = gossip.New(s.VM, net.JoinHostPort(s.IP, strconv.Itoa(s.PeerPort)), g, g.logger); err != nil {
+	if g.gossip, err = gossip.New(s.VM, s.Zone, net.JoinHostPort(s.IP, strconv.Itoa(s.PeerPort)), g, g.logger); err != nil {
 		return err
 	}
 	for _, address := range s.Peers {
@@ -152,7 +154,7 @@
 
 func (g *Gateway) follow(table string, t follow.Table, wait func() time.Duration) *follow.Follower {
 	return follow.New(follow.Options{
-		Name: table, Source: g.store, Table: t, Wait: wait, Timeout: storeTimeout, Pause: g.feedPause, Clock: boottime, Logger: g.logger,
+		Name: table, Source: g.store, Table: t, Wait: wait, Timeout: storeTimeout, Pause: g.feedPause, Rests: g.rests.Load, Changed: func() { g.gossip.Tell() }, Clock: boottime, Logger: g.logger,
 	})
 }
 
@@ -168,10 +170,9 @@
 
 func (g *Gateway) serversWait() time.Duration { return serversWait - rand.N(serversWait/4) }
 
-// feedPause returns how long to wait after changes for more of them: all routers
-// together call the store as often in a large fleet as in a small one.
+// feedPause returns how long to wait after changes for more of them.
 func (g *Gateway) feedPause() time.Duration {
-	return min(longFeedPause, time.Duration(g.routers.Load())*feedPause)
+	return min(longFeedPause, time.Duration(min(manyRouters, g.routers.Load()))*feedPause)
 }
 
 // lapseTime is how long after the store's last failure a missing entry may have
@@ -347,7 +348,7 @@
 	m := &placement.Summary{
 		Router: g.settings.VM, Incarnation: g.incarnation, Zone: g.settings.Zone, Address: g.gossip.Address(),
 		Leaving: g.leaving.Load(), Crashes: g.suspects.tell(),
-		Rows: g.follower.servers.Version(), Settings: g.follower.operator.Version(),
+		Rows: g.follower.servers.Newest(), Settings: g.follower.operator.Newest(),
 	}
 	p := g.operator.lastProof()
 	m.Version, m.Proof = p.version, uint64(p.store.Milliseconds())
@@ -358,19 +359,57 @@
 // Heard takes in what another router says of itself.
 func (g *Gateway) Heard(m *placement.Summary) {
 	now := time.Now()
-	if at, ok := g.follower.operator.Local(time.Duration(m.Proof) * time.Millisecond); ok && m.Proof > 0 {
-		g.view.Prove(m.Version, at)
-	}
+	g.proven(m.Version, m.Proof)
 	g.follower.operator.Nudge(m.Settings)
 	g.follower.servers.Nudge(m.Rows)
 	g.suspects.heard(now, m.Crashes)
 	g.place.Heard(now, m)
 }
 
-// Routers takes in how many routers there are.
-func (g *Gateway) Routers(_, known, rank int, period time.Duration) {
-	g.routers.Store(int64(known))
-	g.place.Routers(known+g.settings.SpareRouters, rank, period)
+// News returns what this router tells its zone of the store, or nil if others do.
+func (g *Gateway) News() *gossip.News {
+	if g.rests.Load() || g.routers.Load() <= manyRouters {
+		return nil
+	}
+	p := g.operator.lastProof()
+	operator, servers := g.follower.operator.News(), g.follower.servers.News()
+	if t := servers.Trouble; t > 0 && (operator.Trouble == 0 || t < operator.Trouble) {
+		operator.Trouble = t
+	}
+	servers.Trouble = operator.Trouble // both tables are of one store
+	return &gossip.News{
+		Router: g.settings.VM, Version: p.version, Proof: uint64(p.store.Milliseconds()), Tables: []follow.News{operator, servers},
+	}
+}
+
+// HeardNews takes in what a router of the zone that asks the store tells.
+func (g *Gateway) HeardNews(n *gossip.News) {
+	for _, t := range n.Tables {
+		switch t.Table {
+		case platform.OperatorTable:
+			g.follower.operator.Hear(t)
+		case platform.ServerTable:
+			g.follower.servers.Hear(t)
+		}
+	}
+	g.proven(n.Version, n.Proof)
+}
+
+// proven takes in another router's proof of a version, by the store's clock in milliseconds.
+func (g *Gateway) proven(version, proof uint64) {
+	if at, ok := g.follower.operator.Local(time.Duration(proof) * time.Millisecond); ok && proof > 0 {
+		g.view.Prove(version, at)
+	}
+}
+
+// Routers takes in which routers there are.
+func (g *Gateway) Routers(f gossip.Fleet) {
+	g.routers.Store(int64(f.Known))
+	rests := f.Known > manyRouters && f.ZoneRank >= zoneAskers
+	if g.rests.Swap(rests) != rests {
+		g.logger.Info().Bool("asks_store", !rests).Int("zone_rank", f.ZoneRank).Int("routers", f.Known).Msg("store-duty")
+	}
+	g.place.Routers(f.Known+g.settings.SpareRouters, f.Rank, f.Period)
 }
 
 // Silent takes in that another router is silent.
--- a/gossip/gossip.go
+++ b/gossip/gossip.go
@@ -34,16 +34,29 @@
 	Summary() *placement.Summary
 	// Heard takes in another router's summary.
 	Heard(m *placement.Summary)
-	// Routers takes in how many routers are alive, how many were ever heard of or
-	// listed, this one's rank among those alive, and the time between two summaries.
-	Routers(alive, known, rank int, period time.Duration)
+	// News returns what this router tells those of its zone, or nil if others tell it.
+	News() *News
+	// HeardNews takes in what another router of the zone tells.
+	HeardNews(n *News)
+	// Routers takes in which routers there are.
+	Routers(f Fleet)
 	// Silent takes in that a router has not been heard for a time.
 	Silent(name string)
 }
 
+// Fleet says which routers there are, by what was heard of them.
+type Fleet struct {
+	Alive    int
+	Known    int           // ever heard of or listed
+	Rank     int           // of this router among those alive, from 0
+	ZoneRank int           // the same within its availability zone
+	Period   time.Duration // between two summaries
+}
+
 // router is another router.
 type router struct {
 	name    string
+	zone    string
 	address netip.AddrPort
 	heard   time.Time
 	silent  bool
@@ -53,10 +66,12 @@
 // Gossip exchanges summaries with all known routers.
 type Gossip struct {
 	self    string
+	zone    string
 	conn    *net.UDPConn
 	handler Handler
 	logger  zerolog.Logger
 	done    chan struct{}
+	fresh   chan struct{} // holds one if there is news to tell at once
 
 	mu      sync.Mutex
 	routers map[netip.AddrPort]*router
@@ -64,7 +79,7 @@
 }
 
 // New listens for summaries at a UDP address.
-func New(self, address string, h Handler, logger zerolog.Logger) (*Gossip, error) {
+func New(self, zone, address string, h Handler, logger zerolog.Logger) (*Gossip, error) {
 	a, err := net.ResolveUDPAddr("udp4", address)
 	if err != nil {
 		return nil, err
@@ -73,7 +88,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return &Gossip{self: self, conn: c, handler: h, logger: logger, done: make(chan struct{}), routers: map[netip.AddrPort]*router{}}, nil
+	return &Gossip{self: self, zone: zone, fresh: make(chan struct{}, 1), conn: c, handler: h, logger: logger, done: make(chan struct{}), routers: map[netip.AddrPort]*router{}}, nil
 }
 
 // Address returns the address that other routers send to.
@@ -98,6 +113,11 @@
 // Run exchanges summaries until the context ends.
 func (g *Gossip) Run(ctx context.Context) error {
 	go g.receive()
+	telling := make(chan struct{})
+	go func() {
+		defer close(telling)
+		g.tellZone(ctx)
+	}()
 	for ctx.Err() == nil {
 		period := g.tell(time.Now())
 		select {
@@ -105,6 +125,7 @@
 		case <-time.After(period):
 		}
 	}
+	<-telling
 	g.tell(time.Now()) // says that this router leaves
 	g.conn.Close()
 	<-g.done
@@ -123,13 +144,23 @@
 		g.logger.Warn().Err(err).Int("bytes", len(data)).Msg("summary-not-sent")
 		return due
 	}
+	g.send(append(data, kindSummary), to)
+	return due
+}
+
+// The last byte of a datagram says what it holds.
+const (
+	kindSummary = 's'
+	kindNews    = 'n'
+)
+
+func (g *Gossip) send(data []byte, to []netip.AddrPort) {
 	for _, a := range to {
-		// A full queue or an unreachable router loses one summary, which the next makes good.
+		// A full queue or an unreachable router loses one message, which the next makes good.
 		if _, err := g.conn.WriteToUDPAddrPort(data, a); err != nil {
 			g.logger.Debug().Err(err).Str("router", a.String()).Msg("summary-lost")
 		}
 	}
-	return due
 }
 
 // period returns the time between two summaries to so many routers.
@@ -143,10 +174,14 @@
 	g.periods++
 	var fell []string
 	alive := []string{g.self}
+	zone := []string{g.self}
 	for _, r := range g.routers {
 		age := now.Sub(r.heard)
 		if age < silence && !r.leaving {
 			alive = append(alive, r.name)
+			if r.zone == g.zone {
+				zone = append(zone, r.name)
+			}
 		}
 		if age >= silence && !r.silent && r.name != "" {
 			r.silent = true
@@ -163,13 +198,16 @@
 		g.handler.Silent(name)
 	}
 	slices.Sort(alive)
-	g.handler.Routers(len(alive), known, slices.Index(alive, g.self), period(len(to)))
+	slices.Sort(zone)
+	g.handler.Routers(Fleet{
+		Alive: len(alive), Known: known, Rank: slices.Index(alive, g.self), ZoneRank: slices.Index(zone, g.self), Period: period(len(to)),
+	})
 	return to
 }
 
 func (g *Gossip) receive() {
 	defer close(g.done)
-	buffer := make([]byte, maxMessage)
+	buffer := make([]byte, maxMessage+1)
 	for {
 		n, from, err := g.conn.ReadFromUDPAddrPort(buffer)
 		if errors.Is(err, net.ErrClosed) {
@@ -178,15 +216,36 @@
 		if err != nil {
 			continue // an earlier summary was refused at its destination
 		}
+		if n > 0 {
+			g.read(buffer[:n-1], buffer[n-1], from)
+		}
+	}
+}
+
+// read takes in one datagram.
+func (g *Gossip) read(data []byte, kind byte, from netip.AddrPort) {
+	var err error
+	switch kind {
+	case kindSummary:
 		m := &placement.Summary{}
-		if err := cbor.Unmarshal(buffer[:n], m); err != nil {
-			g.logger.Warn().Err(err).Str("from", from.String()).Msg("summary-unreadable")
-			continue
+		if err = cbor.Unmarshal(data, m); err == nil {
+			g.take(m, cmp.Or(m.Address, from.String()))
 		}
-		g.take(m, cmp.Or(m.Address, from.String()))
+	case kindNews:
+		n := &News{}
+		if err = cbor.Unmarshal(data, n); err == nil && n.Router != g.self {
+			g.handler.HeardNews(n)
+		}
+	default:
+		err = errKind
+	}
+	if err != nil {
+		g.logger.Warn().Err(err).Str("from", from.String()).Msg("summary-unreadable")
 	}
 }
 
+var errKind = errors.New("a message of an unknown kind; run the same version on all routers")
+
 func (g *Gossip) take(m *placement.Summary, from string) {
 	a, err := netip.ParseAddrPort(from)
 	if err != nil || m.Router == g.self {
@@ -199,7 +258,7 @@
 		g.routers[a] = r
 	}
 	news := r.silent || r.name != m.Router
-	r.name, r.heard, r.silent, r.leaving = m.Router, time.Now(), false, m.Leaving
+	r.name, r.zone, r.heard, r.silent, r.leaving = m.Router, m.Zone, time.Now(), false, m.Leaving
 	g.mu.Unlock()
 	if news {
 		g.logger.Info().Str("router", m.Router).Str("address", from).Msg("router-heard")
--- a/gossip/gossip_test.go
+++ b/gossip/gossip_test.go
@@ -37,10 +37,14 @@
 	r.heard[m.Router]++
 }
 
-func (r *router) Routers(alive, _, _ int, _ time.Duration) {
+func (r *router) News() *gossip.News { return nil }
+
+func (r *router) HeardNews(*gossip.News) {}
+
+func (r *router) Routers(f gossip.Fleet) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.alive = alive
+	r.alive = f.Alive
 }
 
 func (r *router) Silent(name string) {
@@ -64,7 +68,7 @@
 func start(t *testing.T, name string) (*gossip.Gossip, *router, context.CancelFunc) {
 	t.Helper()
 	r := &router{name: name, heard: map[string]int{}, silent: map[string]bool{}}
-	g, err := gossip.New(name, "127.0.0.1:0", r, zerolog.Nop())
+	g, err := gossip.New(name, "zone-a", "127.0.0.1:0", r, zerolog.Nop())
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/placement/summary.go
+++ b/placement/summary.go
@@ -40,7 +40,7 @@
 	Leaving     bool
 	Version     uint64 // of the configuration
 	Proof       uint64 // reading of the store's clock at which it was the newest, in milliseconds; 0 if unknown
-	Rows        uint64 // version up to which the store's list of backend servers is known
+	Rows        uint64 // version of the newest known row of the store's list of backend servers
 	Settings    uint64 // the same of the operator's table
 	Loads       []Load
 	Services    []Service
