Tests: where shared parts are fetched from

The tests fail without the fetch, without the memory of moves, and without the common choice by rendezvous; a client's own header naming a place to fetch from is not passed on.

--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -25,12 +25,12 @@
 	s := newSite(t, plain)
 	b := s.server("i-1", "desk", 0)
 	s.ready()
-	a := s.send("POST", "/desk/x?y=1", "hello", "Tenant", "mallory", "Deadline-Ms", "2000", "Pin-Ms", "4000", "X-Other", "kept")
+	a := s.send("POST", "/desk/x?y=1", "hello", "Tenant", "mallory", "Deadline-Ms", "2000", "Pin-Ms", "4000", "Kv-Fetch", "127.0.0.1:1", "X-Other", "kept")
 	if a.status != 200 || a.body != "done" || a.header.Get("Response-Seal") != "seal-i-1" {
 		t.Fatalf("got %+v, want the server's answer; log:\n%s", a, s.logs)
 	}
 	r := b.Received()[0]
-	want := map[string]string{"Tenant": "alice", "X-Api-Key": "", "Pin-Ms": "", "Expect-Instance": "i-1", "X-Other": "kept"}
+	want := map[string]string{"Tenant": "alice", "X-Api-Key": "", "Pin-Ms": "", "Kv-Fetch": "", "Expect-Instance": "i-1", "X-Other": "kept"}
 	for name, value := range want {
 		if got := r.Header.Get(name); got != value {
 			t.Errorf("header %s: got %q, want %q", name, got, value)
--- a/placement/placement_test.go
+++ b/placement/placement_test.go
@@ -276,3 +276,60 @@
 		})
 	}
 }
+
+// fetchSite returns a router with engines that hand requests over, each with its own address.
+func fetchSite(servers int) *placement.Placement {
+	p := newRouter(engines(true), 1, 0)
+	for i := range servers {
+		p.List(time.Now(), placement.Entry{
+			ID: fmt.Sprintf("i-%d", i), Service: "models", Address: fmt.Sprintf("127.0.0.1:%d", i+1), Zone: "zone-a", Slots: 64,
+		})
+	}
+	return p
+}
+
+// Shared parts were read again by each engine that was not their home.
+func TestSharedPartsAreFetchedFromTheirHome(t *testing.T) {
+	p := fetchSite(9)
+	parts := []placement.Part{{ID: 1, Tokens: 500}, {ID: 2, Tokens: 5000}}
+	home, r := admit(p, ask("a", 12000, parts...))
+	if home == nil {
+		t.Fatalf("got %v, want a server", r)
+	}
+	a := ask("a", 12000, parts...)
+	a.Tried = []string{home.ID()}
+	other, r := admit(p, a)
+	if other == nil {
+		t.Fatalf("got %v, want another server", r)
+	}
+	if got, want := other.Fetch(), home.Address(); got != want || other.Unread() != 12000-5500 {
+		t.Errorf("got parts fetched from %q and %d tokens to read, want %q and %d", got, other.Unread(), want, 12000-5500)
+	}
+}
+
+// A home lost parts to other prompts while the engine that their last request moved to held them.
+func TestHomeFetchesFromWhereItsRequestsMoved(t *testing.T) {
+	p := fetchSite(9)
+	parts := []placement.Part{{ID: 1, Tokens: 500}, {ID: 2, Tokens: 5000}}
+	home, r := admit(p, ask("a", 12000, parts...))
+	if home == nil {
+		t.Fatalf("got %v, want a server", r)
+	}
+	home.First(time.Now())
+	moved := home.Move(time.Now())
+	if moved == nil {
+		t.Fatal("the request did not move")
+	}
+	again, r := admit(p, ask("a", 12000, parts...))
+	if again == nil || again.ID() != home.ID() {
+		t.Fatalf("got %v and %v, want the home %q", again, r, home.ID())
+	}
+	if got, want := again.Fetch(), moved.Address(); got != want {
+		t.Errorf("got parts fetched from %q, want %q", got, want)
+	}
+	// Another router has seen none of this and names the same engine.
+	fresh, r := admit(fetchSite(9), ask("a", 12000, parts...))
+	if fresh == nil || fresh.Fetch() != moved.Address() {
+		t.Errorf("got %v and %v from another router, want parts fetched from %q", fresh, r, moved.Address())
+	}
+}
