Large fleets tell summaries in full within a zone and in sums between zones

Crashing requests, proofs and versions go along. Small fleets (20 and fewer) are as before. Ruled out: fewer or shorter summaries from each to each: it remains a square, and older.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -38,7 +38,6 @@
 const (
 	configWait      = 1300 * time.Millisecond // a call for changes proves the configuration this often
 	sharedWait      = 700 * time.Millisecond  // the same where few routers ask for all
-	manyRouters     = 20                      // from which a few of each zone ask the store and tell the others
 	zoneAskers      = 2                       // routers of a zone that ask then
 	serversWait     = 4000 * time.Millisecond
 	feedPause       = 5 * time.Millisecond // for each router, between calls that bring changes
@@ -125,7 +124,7 @@
 		return err
 	}
 	for _, address := range s.Peers {
-		g.gossip.Add(address)
+		g.gossip.Add("", address)
 	}
 	flow := ingress.NewFlow(ingress.Options{
 		Dialect: platform.Dialect(), View: g.view, Place: g.place, Upstream: g.upstream, Suspects: g.suspects,
@@ -162,7 +161,7 @@
 // varies, so that routers that started together do not call together.
 func (g *Gateway) configWait() time.Duration {
 	wait := configWait
-	if g.routers.Load() > manyRouters {
+	if g.routers.Load() > gossip.Many {
 		wait = sharedWait
 	}
 	return wait - rand.N(wait/4)
@@ -172,7 +171,7 @@
 
 // feedPause returns how long to wait after changes for more of them.
 func (g *Gateway) feedPause() time.Duration {
-	return min(longFeedPause, time.Duration(min(manyRouters, g.routers.Load()))*feedPause)
+	return min(longFeedPause, time.Duration(min(gossip.Many, g.routers.Load()))*feedPause)
 }
 
 // lapseTime is how long after the store's last failure a missing entry may have
@@ -291,7 +290,7 @@
 		return err
 	}
 	for _, r := range b.Rows {
-		g.gossip.Add(string(r.Value))
+		g.gossip.Add(r.Key, string(r.Value))
 	}
 	return nil
 }
@@ -356,19 +355,35 @@
 	return m
 }
 
-// Heard takes in what another router says of itself.
+// ZoneSummary returns what this router tells other zones of all routers of its own.
+func (g *Gateway) ZoneSummary() *placement.Summary {
+	p := g.operator.lastProof()
+	m := &placement.Summary{
+		Router: g.settings.Zone + "/" + g.settings.VM, Incarnation: g.incarnation, Zone: g.settings.Zone, Address: g.gossip.Address(),
+		Crashes: g.suspects.tellZone(), Rows: g.follower.servers.Newest(), Settings: g.follower.operator.Newest(),
+		Version: p.version, Proof: uint64(p.store.Milliseconds()),
+	}
+	g.place.FillZone(time.Now(), m)
+	return m
+}
+
+// Heard takes in what another router says of itself, or of its zone.
 func (g *Gateway) Heard(m *placement.Summary) {
 	now := time.Now()
 	g.proven(m.Version, m.Proof)
 	g.follower.operator.Nudge(m.Settings)
 	g.follower.servers.Nudge(m.Rows)
-	g.suspects.heard(now, m.Crashes)
+	near := m.Zone == g.settings.Zone
+	g.suspects.heard(now, m.Crashes, near)
+	if !near && m.Routers == 0 && g.routers.Load() > gossip.Many {
+		return // its zone says it in sums
+	}
 	g.place.Heard(now, m)
 }
 
 // News returns what this router tells its zone of the store, or nil if others do.
 func (g *Gateway) News() *gossip.News {
-	if g.rests.Load() || g.routers.Load() <= manyRouters {
+	if g.rests.Load() || g.routers.Load() <= gossip.Many {
 		return nil
 	}
 	p := g.operator.lastProof()
@@ -405,7 +420,7 @@
 // Routers takes in which routers there are.
 func (g *Gateway) Routers(f gossip.Fleet) {
 	g.routers.Store(int64(f.Known))
-	rests := f.Known > manyRouters && f.ZoneRank >= zoneAskers
+	rests := f.Known > gossip.Many && f.ZoneRank >= zoneAskers
 	if g.rests.Swap(rests) != rests {
 		g.logger.Info().Bool("asks_store", !rests).Int("zone_rank", f.ZoneRank).Int("routers", f.Known).Msg("store-duty")
 	}
--- a/gateway/suspects.go
+++ b/gateway/suspects.go
@@ -3,6 +3,7 @@
 // This file defines suspects, the requests that crash backend servers, over the fleet.
 
 import (
+	"slices"
 	"sync"
 	"time"
 
@@ -19,6 +20,7 @@
 	mu         sync.Mutex
 	quarantine *schedule.Quarantine
 	recent     []placement.Crash
+	near       []placement.Crash // of other routers of the zone
 }
 
 var _ ingress.Suspects = (*suspects)(nil)
@@ -37,10 +39,16 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	c := s.quarantine.Died(now, digest)
-	if len(s.recent) == toldCrashes {
-		s.recent = append(s.recent[:0], s.recent[1:]...)
+	s.recent = remember(s.recent, placement.Crash{Digest: c.Digest, Count: c.Deaths})
+}
+
+// remember adds a crash to the last ones.
+func remember(list []placement.Crash, c placement.Crash) []placement.Crash {
+	list = slices.DeleteFunc(list, func(x placement.Crash) bool { return x.Digest == c.Digest })
+	if len(list) == toldCrashes {
+		list = append(list[:0], list[1:]...)
 	}
-	s.recent = append(s.recent, placement.Crash{Digest: c.Digest, Count: c.Deaths})
+	return append(list, c)
 }
 
 // Cleared takes in that a request ran to its end.
@@ -56,10 +64,24 @@
 	return append([]placement.Crash(nil), s.recent...)
 }
 
-func (s *suspects) heard(now time.Time, list []placement.Crash) {
+// tellZone returns the crashes of the whole zone.
+func (s *suspects) tellZone() []placement.Crash {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	list := append([]placement.Crash(nil), s.near...)
+	for _, c := range s.recent {
+		list = remember(list, c)
+	}
+	return list
+}
+
+func (s *suspects) heard(now time.Time, list []placement.Crash, near bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, c := range list {
+		if near {
+			s.near = remember(s.near, c)
+		}
 		s.quarantine.Heard(now, schedule.CrashRecord{Digest: c.Digest, Deaths: c.Count})
 	}
 }
--- a/gossip/gossip.go
+++ b/gossip/gossip.go
@@ -32,6 +32,8 @@
 type Handler interface {
 	// Summary returns what this router says of itself now.
 	Summary() *placement.Summary
+	// ZoneSummary returns what this router says of all routers of its zone.
+	ZoneSummary() *placement.Summary
 	// Heard takes in another router's summary.
 	Heard(m *placement.Summary)
 	// News returns what this router tells those of its zone, or nil if others tell it.
@@ -48,7 +50,7 @@
 type Fleet struct {
 	Alive    int
 	Known    int           // ever heard of or listed
-	Rank     int           // of this router among those alive, from 0
+	Rank     int           // of this router among those alive, in a large fleet among those known, from 0
 	ZoneRank int           // the same within its availability zone
 	Period   time.Duration // between two summaries
 }
@@ -75,6 +77,7 @@
 
 	mu      sync.Mutex
 	routers map[netip.AddrPort]*router
+	zones   map[string]*farZone // the others, in a large fleet
 	periods int
 }
 
@@ -88,7 +91,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return &Gossip{self: self, zone: zone, fresh: make(chan struct{}, 1), conn: c, handler: h, logger: logger, done: make(chan struct{}), routers: map[netip.AddrPort]*router{}}, nil
+	return &Gossip{self: self, zone: zone, fresh: make(chan struct{}, 1), conn: c, handler: h, logger: logger, done: make(chan struct{}), routers: map[netip.AddrPort]*router{}, zones: map[string]*farZone{}}, nil
 }
 
 // Address returns the address that other routers send to.
@@ -97,8 +100,8 @@
 // Done returns a channel that is closed when Run has returned.
 func (g *Gossip) Done() <-chan struct{} { return g.done }
 
-// Add takes in the address of a router that may exist.
-func (g *Gossip) Add(address string) {
+// Add takes in the name, if it is known, and the address of a router that may exist.
+func (g *Gossip) Add(name, address string) {
 	a, err := netip.ParseAddrPort(address)
 	if err != nil || address == g.Address() {
 		return
@@ -106,7 +109,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if g.routers[a] == nil {
-		g.routers[a] = &router{address: a}
+		g.routers[a] = &router{name: name, address: a}
 	}
 }
 
@@ -152,6 +155,8 @@
 const (
 	kindSummary = 's'
 	kindNews    = 'n'
+	kindZone    = 'z' // sums of a zone, to be passed on
+	kindPassed  = 'p' // the same, passed on
 )
 
 func (g *Gossip) send(data []byte, to []netip.AddrPort) {
@@ -172,39 +177,71 @@
 func (g *Gossip) targets(now time.Time) (to []netip.AddrPort) {
 	g.mu.Lock()
 	g.periods++
-	var fell []string
-	alive := []string{g.self}
-	zone := []string{g.self}
-	for _, r := range g.routers {
+	large, settling := g.large(), g.settling()
+	fell, alive := g.fallenZones(now)
+	var live, zone, known []string
+	relays := []string{g.Address()}
+	for _, r := range g.sorted() {
 		age := now.Sub(r.heard)
+		if r.name != "" {
+			known = append(known, r.name)
+		}
 		if age < silence && !r.leaving {
-			alive = append(alive, r.name)
+			live = append(live, r.name)
 			if r.zone == g.zone {
 				zone = append(zone, r.name)
+				relays = append(relays, r.address.String())
 			}
 		}
-		if age >= silence && !r.silent && r.name != "" {
+		if age >= silence && !r.silent && !r.heard.IsZero() {
 			r.silent = true
 			fell = append(fell, r.name)
 		}
-		if age < farewell || g.periods%retryEvery == 0 || g.periods < 2*retryEvery {
+		if far := large && r.zone != "" && r.zone != g.zone; far && !settling {
+			continue // its zone is told in sums
+		}
+		if age < farewell || g.periods%retryEvery == 0 || settling {
 			to = append(to, r.address)
 		}
 	}
-	known := len(g.routers) + 1
+	f := Fleet{Alive: 1 + len(live), Known: len(g.routers) + 1, Rank: rank(live, g.self), ZoneRank: rank(zone, g.self), Period: period(len(to))}
+	if large {
+		f.Rank = rank(known, g.self)
+		f.Alive = 1 + len(zone) + alive
+	}
 	g.mu.Unlock()
 	for _, name := range fell {
 		g.logger.Info().Str("router", name).Dur("silence_ms", silence).Msg("router-silent")
 		g.handler.Silent(name)
 	}
-	slices.Sort(alive)
-	slices.Sort(zone)
-	g.handler.Routers(Fleet{
-		Alive: len(alive), Known: known, Rank: slices.Index(alive, g.self), ZoneRank: slices.Index(zone, g.self), Period: period(len(to)),
-	})
+	g.handler.Routers(f)
+	if large && !settling && f.ZoneRank == 0 {
+		g.tellZones(now, relays[:min(zoneRelays, len(relays))])
+	}
 	return to
 }
 
+// sorted returns the other routers by name; g.mu is held.
+func (g *Gossip) sorted() []*router {
+	list := make([]*router, 0, len(g.routers))
+	for _, r := range g.routers {
+		list = append(list, r)
+	}
+	slices.SortFunc(list, func(a, b *router) int { return cmp.Compare(a.name, b.name) })
+	return list
+}
+
+// rank returns how many of the names come before one.
+func rank(names []string, self string) int {
+	n := 0
+	for _, name := range names {
+		if name < self {
+			n++
+		}
+	}
+	return n
+}
+
 func (g *Gossip) receive() {
 	defer close(g.done)
 	buffer := make([]byte, maxMessage+1)
@@ -231,6 +268,11 @@
 		if err = cbor.Unmarshal(data, m); err == nil {
 			g.take(m, cmp.Or(m.Address, from.String()))
 		}
+	case kindZone, kindPassed:
+		m := &placement.Summary{}
+		if err = cbor.Unmarshal(data, m); err == nil {
+			g.takeZone(m, data, kind)
+		}
 	case kindNews:
 		n := &News{}
 		if err = cbor.Unmarshal(data, n); err == nil && n.Router != g.self {
--- a/gossip/gossip_test.go
+++ b/gossip/gossip_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -17,6 +18,7 @@
 // router remembers what it was told.
 type router struct {
 	name string
+	zone string
 
 	mu      sync.Mutex
 	heard   map[string]int
@@ -28,7 +30,7 @@
 func (r *router) Summary() *placement.Summary {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return &placement.Summary{Router: r.name, Incarnation: 1, Address: r.address}
+	return &placement.Summary{Router: r.name, Incarnation: 1, Zone: r.zone, Address: r.address}
 }
 
 func (r *router) Heard(m *placement.Summary) {
@@ -37,6 +39,12 @@
 	r.heard[m.Router]++
 }
 
+func (r *router) ZoneSummary() *placement.Summary {
+	m := r.Summary()
+	m.Router, m.Zone, m.Routers = "zone/"+r.name, r.zone, 1
+	return m
+}
+
 func (r *router) News() *gossip.News { return nil }
 
 func (r *router) HeardNews(*gossip.News) {}
@@ -67,8 +75,13 @@
 
 func start(t *testing.T, name string) (*gossip.Gossip, *router, context.CancelFunc) {
 	t.Helper()
-	r := &router{name: name, heard: map[string]int{}, silent: map[string]bool{}}
-	g, err := gossip.New(name, "zone-a", "127.0.0.1:0", r, zerolog.Nop())
+	return startIn(t, "zone-a", name)
+}
+
+func startIn(t *testing.T, zone, name string) (*gossip.Gossip, *router, context.CancelFunc) {
+	t.Helper()
+	r := &router{name: name, zone: zone, heard: map[string]int{}, silent: map[string]bool{}}
+	g, err := gossip.New(name, zone, "127.0.0.1:0", r, zerolog.Nop())
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -82,7 +95,7 @@
 func TestRoutersLearnOfEachOther(t *testing.T) {
 	g1, r1, _ := start(t, "r1")
 	g2, r2, stop2 := start(t, "r2")
-	g2.Add(g1.Address()) // r1 has read its list before r2 registered
+	g2.Add("", g1.Address()) // r1 has read its list before r2 registered
 	if !r1.is(func() bool { return r1.heard["r2"] > 0 && r1.alive == 2 }) || !r2.is(func() bool { return r2.heard["r1"] > 0 }) {
 		t.Fatal("the routers did not hear each other")
 	}
@@ -106,7 +119,7 @@
 		}
 	}
 	other, _, _ := start(t, "r2")
-	other.Add(g.Address())
+	other.Add("", g.Address())
 	if !r.is(func() bool { return r.heard["r2"] > 0 }) {
 		t.Error("the router hears nothing after datagrams that are no summaries")
 	}
@@ -116,3 +129,47 @@
 		t.Errorf("got summaries from %v, want r2 alone", fmt.Sprint(r.heard))
 	}
 }
+
+// In a large fleet zones hear each other in sums, and go on hearing when the router that
+// sums a zone up is gone.
+func TestZonesHearEachOtherInSums(t *testing.T) {
+	var routers []*router
+	var first *gossip.Gossip
+	stops := map[string]context.CancelFunc{}
+	for i := range gossip.Many + 4 {
+		zone := []string{"zone-a", "zone-b"}[i%2]
+		g, r, stop := startIn(t, zone, fmt.Sprintf("r%02d", i))
+		stops[r.name] = stop
+		routers = append(routers, r)
+		if first == nil {
+			first = g
+			continue
+		}
+		g.Add("r00", first.Address())
+		for _, o := range routers[:i] {
+			g.Add(o.name, o.address)
+		}
+	}
+	last := routers[len(routers)-1] // of zone-b
+	hears := func(r *router, teller string) bool {
+		return r.is(func() bool { n := r.heard[teller]; r.heard[teller] = 0; return n > 0 })
+	}
+	if !hears(last, "zone/r00") {
+		t.Fatal("a router heard no sums of the other zone")
+	}
+	stops["r00"]()
+	if !hears(last, "zone/r02") {
+		t.Error("a router heard no sums of the other zone after its first router stopped")
+	}
+	direct := func() (n int) {
+		for name, heard := range last.heard {
+			if !strings.HasPrefix(name, "zone/") && (name[2]-'0')%2 == 0 {
+				n += heard
+			}
+		}
+		return n
+	}
+	if !last.is(func() bool { n := direct(); clear(last.heard); return n == 0 }) {
+		t.Error("routers of the other zone still speak for themselves alone")
+	}
+}
--- a/placement/server.go
+++ b/placement/server.go
@@ -68,7 +68,8 @@
 	samples   int
 	coldSent  window
 
-	sent uint64 // unread tokens sent by this router in all, told to other routers
+	sent     uint64 // unread tokens sent by this router in all, told to other routers
+	zoneSent uint64 // the same of the other routers of its zone, as heard
 }
 
 // remoteLoad is what another router last said of one backend server.
--- a/placement/share.go
+++ b/placement/share.go
@@ -14,6 +14,8 @@
 	asked, served series // fleet-wide
 	askedSum      uint64 // by this router in all, told to other routers
 	servedSum     uint64
+	zoneAsked     uint64 // the same of the other routers of its zone, as heard
+	zoneServed    uint64
 }
 
 // shares are all customers' demand and service.
--- a/placement/summary.go
+++ b/placement/summary.go
@@ -36,7 +36,9 @@
 	Router      string
 	Incarnation uint64
 	Zone        string
-	Address     string // for summaries to it
+	Routers     int      // of the zone, for which it speaks; 0 if it speaks for itself alone
+	Relays      []string // addresses of those of the zone that take the summaries of other zones
+	Address     string   // for summaries to it
 	Leaving     bool
 	Version     uint64 // of the configuration
 	Proof       uint64 // reading of the store's clock at which it was the newest, in milliseconds; 0 if unknown
@@ -57,6 +59,8 @@
 
 // peerSums is what another router last said.
 type peerSums struct {
+	zone        string
+	routers     int
 	incarnation uint64
 	sent        map[string]uint64
 	asked       map[string]uint64
@@ -80,12 +84,54 @@
 	}
 }
 
+// FillZone adds what this router and those of its zone have said to a summary of the zone.
+func (p *Placement) FillZone(now time.Time, m *Summary) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	m.Routers = 1
+	var near []string
+	for name, o := range p.peers {
+		if o.zone == p.zone && o.routers == 0 {
+			near = append(near, name)
+		}
+	}
+	m.Routers += len(near)
+	for id, s := range p.servers {
+		l := Load{Server: id, Running: s.running, Tokens: s.tokens, Reading: int(s.unread), Sent: s.sent + s.zoneSent, Down: s.failures > 1}
+		told := s.told(now)
+		for _, name := range near {
+			if r, ok := s.remote[name]; ok {
+				l.Running, l.Tokens, l.Reading, told = l.Running+r.running, l.Tokens+r.tokens, l.Reading+r.reading, true
+			}
+		}
+		if told {
+			m.Loads = append(m.Loads, l)
+		}
+	}
+	for name, pl := range p.pools {
+		f := pl.fit
+		for _, from := range near {
+			f = f.plus(pl.fits[from])
+		}
+		m.addFit(name, f)
+	}
+	for name, c := range p.shares.customers {
+		if asked := c.askedSum + c.zoneAsked; asked > 0 {
+			m.Services = append(m.Services, Service{Customer: name, Asked: asked, Served: c.servedSum + c.zoneServed})
+		}
+	}
+}
+
 // fillFits adds this router's observations to a summary.
 func (p *Placement) fillFits(m *Summary) {
 	for name, pl := range p.pools {
-		if f := pl.fit; f.n > 0 {
-			m.Fits = append(m.Fits, FitSums{Service: name, N: f.n, X: f.x, Y: f.y, XX: f.xx, XY: f.xy})
-		}
+		m.addFit(name, pl.fit)
+	}
+}
+
+func (m *Summary) addFit(service string, f fit) {
+	if f.n > 0 {
+		m.Fits = append(m.Fits, FitSums{Service: service, N: f.n, X: f.x, Y: f.y, XX: f.xx, XY: f.xy})
 	}
 }
 
@@ -112,7 +158,7 @@
 	defer p.mu.Unlock()
 	old := p.peers[m.Router]
 	if old == nil || old.incarnation != m.Incarnation {
-		old = &peerSums{incarnation: m.Incarnation, sent: map[string]uint64{}, asked: map[string]uint64{}, served: map[string]uint64{}}
+		old = &peerSums{zone: m.Zone, routers: m.Routers, incarnation: m.Incarnation, sent: map[string]uint64{}, asked: map[string]uint64{}, served: map[string]uint64{}}
 		p.peers[m.Router] = old
 		for _, s := range p.servers {
 			s.unhear(m.Router)
@@ -128,10 +174,16 @@
 	}
 	p.heardFits(m)
 	slot := p.shares.slot(now)
+	near := m.Zone == p.zone
 	for _, s := range m.Services {
 		c := p.shares.customer(s.Customer)
-		c.asked.add(slot, increase(old.asked, s.Customer, s.Asked))
-		c.served.add(slot, increase(old.served, s.Customer, s.Served))
+		asked, served := increase(old.asked, s.Customer, s.Asked), increase(old.served, s.Customer, s.Served)
+		c.asked.add(slot, asked)
+		c.served.add(slot, served)
+		if near {
+			c.zoneAsked += uint64(asked)
+			c.zoneServed += uint64(served)
+		}
 	}
 }
 
@@ -143,6 +195,9 @@
 	s.hear(from, remoteLoad{running: l.Running, tokens: l.Tokens, reading: l.Reading})
 	if more := increase(old.sent, l.Server, l.Sent); more > 0 {
 		s.push(now, more)
+		if old.zone == p.zone {
+			s.zoneSent += uint64(more)
+		}
 	}
 	if l.Down && s.failures == 0 && !s.cold(now) {
 		s.warming = true // it may have started anew
