--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -50,6 +50,7 @@
 	registerTimeout = time.Second
 	registerPause   = 300 * time.Millisecond
 	exitMargin      = 700 * time.Millisecond // before the platform ends the process
+	linksMargin     = 500 * time.Millisecond // for the other parts to end once all callers are served
 	boundShare      = 0.85                   // of a bound over the fleet that is used
 	callersPart     = 0.6                    // of the descriptors that callers' connections may take
 	memoryPart      = 0.6                    // of the memory limit from which the collector works harder
@@ -252,13 +253,19 @@
 		root.Stop()
 		close(stopped)
 	}()
+	timer := time.NewTimer(g.settings.Grace - exitMargin)
+	defer timer.Stop()
 	select {
-	case <-stopped:
-		g.logger.Info().Msg("stopped")
-		return nil
-	case <-time.After(g.settings.Grace - exitMargin):
+	case <-g.ingress.Done():
+	case <-timer.C:
 		return &StopError{g.ingress.InFlight()}
 	}
+	select {
+	case <-stopped:
+	case <-time.After(linksMargin): // a call of the store may go on without an answer
+	}
+	g.logger.Info().Msg("stopped")
+	return nil
 }
 
 // register writes this router's address to the store and reads those of the others.
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -371,3 +371,18 @@
 		t.Error("the gateway did not stop")
 	}
 }
+
+// A store that does not answer once held the stop up until its time was over.
+func TestStopDoesNotWaitForTheStore(t *testing.T) {
+	s := newSite(t, plain)
+	s.server("i-1", "desk", 0)
+	s.ready()
+	s.stop()
+	time.Sleep(2500 * time.Millisecond) // callers may come for 3 s
+	s.store.Break(platformtest.Silent)
+	select {
+	case <-s.gateway.Done():
+	case <-time.After(2 * time.Second):
+		t.Error("the router did not stop while the store was silent")
+	}
+}
