--- a/placement/placement_test.go
+++ b/placement/placement_test.go
@@ -333,3 +333,26 @@
 		t.Errorf("got %v and %v from another router, want parts fetched from %q", fresh, r, moved.Address())
 	}
 }
+
+// A customer that had got more than the others was refused while all engines idled.
+func TestIdleEnginesServeAnyone(t *testing.T) {
+	p := newRouter(engines(false), 1, 9)
+	for range 300 {
+		p.Arrived(time.Now(), ask("poor", 12000)) // asks elsewhere, where it gets nothing
+	}
+	served := 0
+	for end := time.Now().Add(3 * time.Second); served < 80 && time.Now().Before(end); {
+		g, _ := admit(p, ask("rich", 12000))
+		if g == nil {
+			time.Sleep(20 * time.Millisecond)
+			continue
+		}
+		served++
+		g.First(time.Now())
+		g.End(time.Now(), placement.Done)
+	}
+	time.Sleep(400 * time.Millisecond) // longer than a pause: nothing is read any more
+	if g, r := admit(p, ask("rich", 2000)); g == nil {
+		t.Errorf("got %v after %d requests served, want a server, since all are idle", r, served)
+	}
+}
--- a/placement/pool.go
+++ b/placement/pool.go
@@ -68,6 +68,7 @@
 	pause    float64 // longest pause between events that is in time, in milliseconds, as last asked for
 	split    bool    // some engines read prompts for the others
 	assigned time.Time
+	idle     float64            // part of the spare capacity that is anyone's, since the engines idle
 	holders  map[uint64]*server // by part: engine beside its home that held it last
 }
 
@@ -231,7 +232,7 @@
 	v.home = p.home(now, w.ask.Parts, v.reader)
 	v.reading, v.slots, v.queue = fullReading*p.strain.full(), fullSlots, queueFull
 	if v.spare {
-		part := p.strain.spare() * p.placement.shares.yields(now, w.from)
+		part := p.strain.spare() * max(p.placement.shares.yields(now, w.from), p.idle)
 		v.reading, v.slots, v.queue = spareReading*part, spareSlots, queueSpare*part
 	}
 	return v
--- a/placement/roles.go
+++ b/placement/roles.go
@@ -40,6 +40,7 @@
 			usable = append(usable, s)
 		}
 	}
+	p.idle = p.idleness(now, usable)
 	p.split = p.service.Moves && len(usable) >= leastEngines
 	if !p.split {
 		return
@@ -50,6 +51,27 @@
 	}
 }
 
+// How busy the engines are on the average, from which customers above their share leave
+// what is spare to those that got less, and from which all of it.
+const (
+	yieldFrom, yieldTo = 0.20, 0.45
+	mostIdle           = 0.5
+)
+
+// idleness returns the part of the spare capacity that a customer may use whatever it
+// got before: nobody gains by engines that idle.
+func (p *pool) idleness(now time.Time, usable []*server) float64 {
+	if len(usable) == 0 {
+		return 0
+	}
+	busy := 0.0
+	for _, s := range usable {
+		running, _ := s.load()
+		busy += max(s.recent.sum(now, p.pause)/p.pause, float64(running)/float64(s.slotCount()))
+	}
+	return mostIdle * (1 - ramp(busy/float64(len(usable)), yieldFrom, yieldTo))
+}
+
 // wantsReader reports whether a request belongs to engines that read prompts.
 func (p *pool) wantsReader(a *Ask, pause float64) bool {
 	part := longRead
