--- a/ingress/attempt.go
+++ b/ingress/attempt.go
@@ -196,7 +196,8 @@
 		b = appendHeader(b, d.Customer, x.customer.Name)
 	}
 	if g.Fetch() != "" && x.movedFrom == "" {
-		b = appendHeader(b, d.Fetch, g.Fetch())
+		x.fetched = g.Fetch()
+		b = appendHeader(b, d.Fetch, x.fetched)
 	}
 	if x.movedFrom != "" {
 		b = appendHeader(b, d.MoveFrom, x.movedFrom)
--- a/ingress/flow.go
+++ b/ingress/flow.go
@@ -108,6 +108,7 @@
 	queued     time.Duration // before the last attempt was sent
 	firstAfter time.Duration // from the arrival to the first event
 	expected   time.Duration // from the last send to the first event
+	fetched    string        // address of the engine that shared parts were fetched from
 	unread     int           // prompt tokens that the backend server was expected to read
 }
 
@@ -117,6 +118,7 @@
 	cause  string
 	after  time.Duration // when to come back, for a call that has not run
 	seen   placement.Seen
+	share  placement.ShareSeen
 }
 
 // serve serves one request and reports whether its connection stays usable.
@@ -294,7 +296,7 @@
 	if ctx.Err() != nil && !x.mayRun {
 		return &verdict{status: 503, cause: string(placement.Left)}
 	}
-	return &verdict{status: 503, cause: string(r.Reason), after: r.After, seen: r.Seen}
+	return &verdict{status: 503, cause: string(r.Reason), after: r.After, seen: r.Seen, share: r.Share}
 }
 
 // settle turns the last failure into a final answer that is true of all attempts.
--- a/ingress/log.go
+++ b/ingress/log.go
@@ -53,5 +53,14 @@
 	if s := v.seen; s != (placement.Seen{}) {
 		e = e.Int("unusable", s.Unusable).Int("claimed", s.Claimed).Int("full", s.Full).Int("busy", s.Busy).Dur("best_first_ms", s.First)
 	}
+	if s := v.share; cause == string(placement.OverShare) {
+		e = e.Int("share", int(s.Level)).Int("served", int(s.Served)).Int("served_mean", int(s.Mean)).Float64("idle", s.Idle)
+	}
+	if v.after > 0 {
+		e = e.Dur("come_back_ms", v.after)
+	}
+	if x.fetched != "" {
+		e = e.Str("fetched_from", x.fetched)
+	}
 	e.Msg("request")
 }
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -66,6 +66,16 @@
 	Reason Reason
 	After  time.Duration
 	Seen   Seen
+	Share  ShareSeen
+}
+
+// ShareSeen is what decided about a customer's share when a request was refused. Costs
+// are those of the window, in tokens.
+type ShareSeen struct {
+	Level  float64 // share of a customer that asks for more; 0 if there is enough
+	Served float64 // what the customer got
+	Mean   float64 // what those got that ask for more than they get
+	Idle   float64 // part of what is spare that is anyone's
 }
 
 // Seen counts why backend servers did not take a request when it was last tried.
@@ -289,8 +299,8 @@
 	}
 	patience := w.patience()
 	if patience <= 0 || pl.crowded(w) {
-		p.mu.Unlock()
-		return nil, &Refusal{w.reason(), p.comeBack(a, w.over), w.seen}
+		defer p.mu.Unlock()
+		return nil, p.refusal(now, pl, w)
 	}
 	w.granted = make(chan *Grant, 1)
 	pl.waiting = append(pl.waiting, w)
--- a/placement/placement_test.go
+++ b/placement/placement_test.go
@@ -356,3 +356,24 @@
 		t.Errorf("got %v after %d requests served, want a server, since all are idle", r, served)
 	}
 }
+
+func TestRefusalTellsWhatDecided(t *testing.T) {
+	p := newRouter(engines(false), 1, 1)
+	for range 200 {
+		p.Arrived(time.Now(), ask("rich", 12000))
+		p.Arrived(time.Now(), ask("poor", 12000))
+	}
+	var last *placement.Refusal
+	for range 100 { // until there is no room any more
+		_, r := admit(p, ask("rich", 12000))
+		if r != nil {
+			last = r
+		}
+	}
+	if last == nil {
+		t.Fatal("got servers for all requests, want a refusal")
+	}
+	if last.Share.Level <= 0 || last.Share.Served <= 0 {
+		t.Errorf("got %+v, want the share and what the customer had", last.Share)
+	}
+}
--- a/placement/queue.go
+++ b/placement/queue.go
@@ -33,7 +33,7 @@
 	p.mu.Lock() // a dispatch may look at the request until it is out of the queue
 	pl.waiting = slices.DeleteFunc(pl.waiting, func(x *waiter) bool { return x == w })
 	pl.unclaim(w)
-	r := &Refusal{w.reason(), p.comeBack(w.ask, w.over), w.seen}
+	r := p.refusal(time.Now(), pl, w)
 	p.mu.Unlock()
 	if left {
 		r.Reason = Left
@@ -49,6 +49,15 @@
 	return nil, r
 }
 
+// refusal says why a request got no server.
+func (p *Placement) refusal(now time.Time, pl *pool, w *waiter) *Refusal {
+	s := p.shares
+	return &Refusal{
+		Reason: w.reason(), After: p.comeBack(w.ask, w.over), Seen: w.seen,
+		Share: ShareSeen{Level: s.level, Served: w.from.served.sum(s.slot(now)), Mean: s.mean, Idle: pl.idle},
+	}
+}
+
 // unclaim frees the servers that were kept for a request which waits no more.
 func (pl *pool) unclaim(w *waiter) {
 	for _, s := range pl.servers {
