An engine that nothing was read at is not taken to hold shared parts

An engine counts as filled 2 s after the first reading sent to it; one that was listed when the router started counts as filled, since the router cannot tell. Ruled out: the initial reading speed (expected and real times agree for prompts without shared parts). The test fails without it.

--- a/placement/placement.go
+++ b/placement/placement.go
@@ -149,6 +149,9 @@
 	to.servers = append(to.servers, s)
 }
 
+// listTime is how long after its start a router learns of backend servers that were there before.
+const listTime = time.Second
+
 // unlisted stands for the service of servers that no configuration names yet.
 var unlisted = &route.Service{}
 
@@ -160,11 +163,15 @@
 	if s == nil || s.Address != e.Address || s.Service != e.Service {
 		p.drop(s)
 		s = newServer(newPool(p, unlisted), e)
+		if now.Sub(p.shares.began) < listTime {
+			s.filledAt = now // it may have been read at for long
+		}
 		p.servers[e.ID] = s
 		p.attach(s)
 	}
 	if e.Born != s.Born {
 		s.parts.clear()
+		s.filledAt = time.Time{}
 		s.busyUntil = now
 		s.failures, s.downUntil, s.warming = 0, time.Time{}, false
 		s.chill(now, s.pool.service.Cold)
--- a/placement/placement_test.go
+++ b/placement/placement_test.go
@@ -377,3 +377,25 @@
 		t.Errorf("got %+v, want the share and what the customer had", last.Share)
 	}
 }
+
+// At the first requests of a day every home was taken to hold what it had never read, and
+// got more than it could read in time.
+func TestEmptyEngineHoldsNothing(t *testing.T) {
+	p := placement.New(placement.Options{Zone: "zone-a", Bounds: bounds, Routers: 1, Now: time.Now().Add(-time.Minute)})
+	p.Configure(engines(true))
+	for i := range 9 {
+		p.List(time.Now(), placement.Entry{ID: fmt.Sprintf("i-%d", i), Service: "models", Address: "127.0.0.1:1", Zone: "zone-a", Slots: 64})
+	}
+	parts := []placement.Part{{ID: 1, Tokens: 500}, {ID: 2, Tokens: 5000}}
+	for _, want := range []int{12000, 12000 - 5500} { // the router knows of its own first request
+		g, r := admit(p, ask("a", 12000, parts...))
+		if g == nil {
+			t.Fatalf("got %v, want a server", r)
+		}
+		if got := g.Unread(); got != want {
+			t.Errorf("got %d tokens to read, want %d", got, want)
+		}
+		g.First(time.Now())
+		g.End(time.Now(), placement.Done)
+	}
+}
--- a/placement/pool.go
+++ b/placement/pool.go
@@ -307,17 +307,20 @@
 // weigh returns what it takes and costs to send a request to a server.
 func (p *pool) weigh(now time.Time, a *Ask, s, holder *server, home bool, running int) choice {
 	known := s.parts.known(a.Parts)
+	c := choice{server: s, home: home, missing: a.Shared() - known}
 	if home {
-		known = a.Shared()
+		c.missing = 0
+		if s.filled(now) {
+			known = a.Shared()
+		}
 	}
-	c := choice{server: s, home: home, unread: max(1, a.Prompt-known)}
-	c.missing = a.Shared() - known
+	c.unread = max(1, a.Prompt-known)
 	if home {
 		if other := cmp.Or(p.holder(a.Parts), p.home(now, a.Parts, !s.reader)); other != nil && other != s && other.listed {
 			c.source = other
 		}
 	}
-	if c.missing > 0 && holder != nil && holder != s {
+	if c.missing > 0 && holder != nil && holder != s && holder.filled(now) {
 		c.source = holder
 		c.unread = max(1, a.Prompt-a.Shared())
 	}
--- a/placement/server.go
+++ b/placement/server.go
@@ -50,6 +50,7 @@
 	warming   bool
 	reader    bool // reads prompts for others
 
+	filledAt  time.Time // from then on it holds what it is home to; zero while nothing was read
 	busyUntil time.Time
 	recent    amounts   // milliseconds of reading that were sent lately
 	pace      float64   // time that reading takes over what the model says
@@ -118,11 +119,23 @@
 
 // push adds tokens to what the server has to read.
 func (s *server) push(now time.Time, tokens float64) {
+	if s.filledAt.IsZero() {
+		s.filledAt = now.Add(fillTime)
+	}
 	read := s.readTime(tokens)
 	s.busyUntil = later(s.busyUntil, now).Add(read)
 	s.recent.add(now, s.pool.pause, milliseconds(read))
 }
 
+// fillTime is how long requests take to bring an empty engine what it is home to.
+const fillTime = 2 * time.Second
+
+// filled reports whether the server is taken to hold what it is home to. A router that
+// has just started cannot tell and takes it so.
+func (s *server) filled(now time.Time) bool {
+	return !s.filledAt.IsZero() && now.After(s.filledAt)
+}
+
 func later(a, b time.Time) time.Time {
 	if a.After(b) {
 		return a
