--- a/ingress/log.go
+++ b/ingress/log.go
@@ -54,7 +54,7 @@
 		e = e.Int("unusable", s.Unusable).Int("claimed", s.Claimed).Int("full", s.Full).Int("busy", s.Busy).Dur("best_first_ms", s.First)
 	}
 	if s := v.share; cause == string(placement.OverShare) {
-		e = e.Int("share", int(s.Level)).Int("served", int(s.Served)).Int("served_mean", int(s.Mean)).Float64("idle", s.Idle)
+		e = e.Int("share", int(s.Level)).Int("served", int(s.Served)).Int("served_least", int(s.Least)).Float64("idle", s.Idle)
 	}
 	if v.after > 0 {
 		e = e.Dur("come_back_ms", v.after)
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -74,7 +74,7 @@
 type ShareSeen struct {
 	Level  float64 // share of a customer that asks for more; 0 if there is enough
 	Served float64 // what the customer got
-	Mean   float64 // what those got that ask for more than they get
+	Least  float64 // what the customer got that got least of those that ask for more, the share at least
 	Idle   float64 // part of what is spare that is anyone's
 }
 
--- a/placement/placement_test.go
+++ b/placement/placement_test.go
@@ -399,3 +399,27 @@
 		g.End(time.Now(), placement.Done)
 	}
 }
+
+// However idle the engines are, a customer that asks for more than it gets has at least
+// half of what another one has: its own requests may come where there is no room to take them.
+func TestGapBetweenBackloggedCustomersIsBounded(t *testing.T) {
+	p := newRouter(engines(false), 1, 9)
+	for range 300 {
+		p.Arrived(time.Now(), ask("poor", 12000)) // it gets its share elsewhere, and no more
+	}
+	const share = 300000 * 4 / 2 // tokens of the window for each of two customers
+	served := 0
+	for end := time.Now().Add(3 * time.Second); time.Now().Before(end); {
+		g, _ := admit(p, ask("rich", 12000))
+		if g == nil {
+			time.Sleep(20 * time.Millisecond)
+			continue
+		}
+		served += 12000 + 2*200
+		g.First(time.Now())
+		g.End(time.Now(), placement.Done)
+	}
+	if most := 2 * share; served > most {
+		t.Errorf("got %d tokens served to a customer while another had %d, want at most %d", served, share, most)
+	}
+}
--- a/placement/pool.go
+++ b/placement/pool.go
@@ -232,7 +232,7 @@
 	v.home = p.home(now, w.ask.Parts, v.reader)
 	v.reading, v.slots, v.queue = fullReading*p.strain.full(), fullSlots, queueFull
 	if v.spare {
-		part := p.strain.spare() * max(p.placement.shares.yields(now, w.from), p.idle)
+		part := p.strain.spare() * p.placement.shares.yields(now, w.from, p.idle)
 		v.reading, v.slots, v.queue = spareReading*part, spareSlots, queueSpare*part
 	}
 	return v
--- a/placement/queue.go
+++ b/placement/queue.go
@@ -54,7 +54,7 @@
 	s := p.shares
 	return &Refusal{
 		Reason: w.reason(), After: p.comeBack(w.ask, w.over), Seen: w.seen,
-		Share: ShareSeen{Level: s.level, Served: w.from.served.sum(s.slot(now)), Mean: s.mean, Idle: pl.idle},
+		Share: ShareSeen{Level: s.level, Served: w.from.served.sum(s.slot(now)), Least: s.least, Idle: pl.idle},
 	}
 }
 
--- a/placement/share.go
+++ b/placement/share.go
@@ -24,7 +24,7 @@
 	began     time.Time
 	capacity  float64 // cost per second, 0 if unknown
 	level     float64 // share of a customer that asks for more, in cost per window; 0 if there is enough
-	mean      float64 // what customers got that ask for more than they get, in cost per window
+	least     float64 // what the customer got that got least of those that ask for more, the share at least; 0 if none does
 	levelAt   int64
 	demands   []float64
 }
@@ -54,42 +54,46 @@
 }
 
 // yields returns the part of the spare capacity that a customer above its share may
-// use: less as it got more than the others that ask for more, so that these get alike
-// wherever their requests arrive.
-func (s *shares) yields(now time.Time, c *customer) float64 {
-	if s.mean <= 0 {
+// use: less as it got more than the one that got least of those that ask for more, so
+// that the gap between them stays bounded wherever their requests arrive. Idle is the
+// part that is anyone's since engines idle; the gap bounds it too.
+func (s *shares) yields(now time.Time, c *customer, idle float64) float64 {
+	if s.least <= 0 {
 		return 1
 	}
-	return min(1, max(0, 1-yieldSlope*(c.served.sum(s.slot(now))/s.mean-1)))
+	gap := c.served.sum(s.slot(now)) / s.least
+	return max(1-ramp(gap, gapFrom, gapTo), idle*(1-ramp(gap, gapTo, gapIdle)))
 }
 
-// yieldSlope makes a customer use nothing that is spare when it got a third more than the mean.
-const yieldSlope = 3
+// Service of a customer, in that of the one that got least, from which it may use less
+// of what is spare, none, and none while engines idle. A customer gets at least half of
+// what another got.
+const (
+	gapFrom, gapTo, gapIdle = 1.2, 1.55, 1.8
+)
 
 // unsatisfied is the part of what it asks up to which a customer counts as asking for more.
 const unsatisfied = 0.9
 
-// average computes what those customers got on the average that ask for more than
+// lowest computes what the customer got that got least of those that ask for more than
 // they get, the share at least.
-func (s *shares) average(slot int64) {
-	sum, n := 0.0, 0
+func (s *shares) lowest(slot int64) {
+	s.least = 0
 	for _, c := range s.customers {
 		asked, served := c.asked.sum(slot), c.served.sum(slot)
-		if asked > s.level && served < unsatisfied*asked {
-			sum += served
-			n++
+		if asked <= s.level || served >= unsatisfied*asked {
+			continue
+		}
+		if s.least == 0 || served < s.least {
+			s.least = max(s.level, served)
 		}
-	}
-	s.mean = 0
-	if n > 0 {
-		s.mean = max(s.level, sum/float64(n))
 	}
 }
 
 // refresh computes the max-min share: the level at which capacity is used up when
 // each customer gets what it asks, but at most the level.
 func (s *shares) refresh(slot int64) {
-	s.levelAt, s.level, s.mean = slot, 0, 0
+	s.levelAt, s.level, s.least = slot, 0, 0
 	if s.capacity <= 0 {
 		return
 	}
@@ -110,7 +114,7 @@
 		even := left / float64(len(s.demands)-i)
 		if d > even {
 			s.level = even
-			s.average(slot)
+			s.lowest(slot)
 			return
 		}
 		left -= d
