Customers that got a third more than the least use nothing that is spare unless engines idle

Cause: with the bound on the gap in place its place is measured: less of what is spare makes fewer streams of others late.

--- a/placement/share.go
+++ b/placement/share.go
@@ -69,7 +69,7 @@
 // of what is spare, none, and none while engines idle. A customer gets at least half of
 // what another got.
 const (
-	gapFrom, gapTo, gapIdle = 1.2, 1.55, 1.8
+	gapFrom, gapTo, gapIdle = 1.05, 1.3, 1.65
 )
 
 // unsatisfied is the part of what it asks up to which a customer counts as asking for more.
