--- a/ingress/door.go
+++ b/ingress/door.go
@@ -25,7 +25,7 @@
 
 const (
 	clientBuffer = 17 << 10
-	mostOpening  = 256                    // beyond, new connections are refused unread
+	mostOpening  = 64                     // beyond, new connections are refused unread
 	stalled      = 250 * time.Millisecond // from a connection to its first request, after which its client may have given up
 )
 
