--- /dev/null
+++ b/gossip/bench_test.go
@@ -0,0 +1,32 @@
+package gossip_test
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"bulrushtally/placement"
+)
+
+// BenchmarkSummary reads a summary of a router that 90 engines and 30 customers keep busy.
+func BenchmarkSummary(b *testing.B) {
+	m := &placement.Summary{Router: "front-kgn-a-1", Incarnation: 1, Zone: "kgn-a", Address: "10.1.0.33:7400"}
+	for i := range 90 {
+		m.Loads = append(m.Loads, placement.Load{Server: fmt.Sprintf("i-%010d", i), Running: 3, Tokens: 40000, Reading: 3000, Sent: 1 << 30})
+	}
+	for i := range 30 {
+		m.Services = append(m.Services, placement.Service{Customer: fmt.Sprintf("cust%03d", i), Asked: 1 << 32, Served: 1 << 31})
+	}
+	data, err := cbor.Marshal(m)
+	if err != nil {
+		b.Fatal(err)
+	}
+	b.SetBytes(int64(len(data)))
+	for b.Loop() {
+		var got placement.Summary
+		if err := cbor.Unmarshal(data, &got); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
