--- a/placement/pool.go
+++ b/placement/pool.go
@@ -4,7 +4,6 @@
 
 import (
 	"cmp"
-	"math"
 	"math/rand/v2"
 	"time"
 
@@ -94,58 +93,6 @@
 	return sum / float64(n)
 }
 
-// home returns the usable server that a prompt's shared parts belong to by
-// rendezvous hashing, so that all routers read them at the same one, or nil.
-func (p *pool) home(now time.Time, parts []Part, reader bool) *server {
-	if len(parts) == 0 {
-		return nil
-	}
-	key := parts[len(parts)-1].ID
-	var best *server
-	var top uint64
-	for _, s := range p.servers {
-		if !s.usable(now) || p.split && s.reader != reader {
-			continue
-		}
-		if h := mix(key, s.hash); best == nil || h > top {
-			best, top = s, h
-		}
-	}
-	return best
-}
-
-// maxHolders bounds how many parts are remembered with their holder.
-const maxHolders = 4096
-
-// holder returns the engine beside its home that a prompt's last shared part was last sent or moved to, or nil.
-func (p *pool) holder(parts []Part) *server {
-	if len(parts) == 0 {
-		return nil
-	}
-	return p.holders[parts[len(parts)-1].ID]
-}
-
-// hold takes in that an engine holds a prompt's shared parts.
-func (p *pool) hold(parts []Part, s *server) {
-	if len(parts) == 0 {
-		return
-	}
-	if len(p.holders) >= maxHolders {
-		clear(p.holders)
-	}
-	p.holders[parts[len(parts)-1].ID] = s
-}
-
-// mix returns a hash of two hashes.
-func mix(a, b uint64) uint64 {
-	x := a ^ (b + 0x9e3779b97f4a7c15 + a<<6 + a>>2)
-	x ^= x >> 33
-	x *= 0xff51afd7ed558ccd
-	x ^= x >> 33
-	x *= 0xc4ceb9fe1a85ec53
-	return x ^ x>>33
-}
-
 // choice is a server that can take a request now.
 type choice struct {
 	server  *server
@@ -387,47 +334,3 @@
 	}
 	return max(1, s.pool.service.Slots)
 }
-
-// observe learns from a first event: how long reading takes, on the whole and at this server.
-func (p *pool) observe(now time.Time, s *server, tokens float64, expected, took time.Duration) {
-	p.fit.add(tokens, milliseconds(took))
-	all := p.fit
-	for _, f := range p.fits {
-		all = all.plus(f)
-	}
-	if slope, base, ok := all.line(); ok {
-		p.perToken = min(maxPerToken, max(minPerToken, slope))
-		p.base = min(maxBase, max(0, base))
-	}
-	ratio := min(maxRatio, max(1/maxRatio, milliseconds(took)/max(milliseconds(expected), 1)))
-	s.paced = now
-	s.pace = min(maxPace, max(minPace, s.pace*math.Pow(ratio, paceGain)))
-}
-
-// fit is a line through observations, of which old ones count less; its zero value has none.
-type fit struct {
-	n, x, y, xx, xy float64
-}
-
-func (f *fit) add(x, y float64) {
-	f.n = f.n*fitMemory + 1
-	f.x = f.x*fitMemory + x
-	f.y = f.y*fitMemory + y
-	f.xx = f.xx*fitMemory + x*x
-	f.xy = f.xy*fitMemory + x*y
-}
-
-// plus returns the observations of both.
-func (f fit) plus(g fit) fit {
-	return fit{n: f.n + g.n, x: f.x + g.x, y: f.y + g.y, xx: f.xx + g.xx, xy: f.xy + g.xy}
-}
-
-// line returns the line of least squares, or false if there are too few observations.
-func (f *fit) line() (slope, base float64, ok bool) {
-	spread := f.n*f.xx - f.x*f.x
-	if f.n < fitSamples || spread <= 0 {
-		return 0, 0, false
-	}
-	slope = (f.n*f.xy - f.x*f.y) / spread
-	return slope, (f.y - slope*f.x) / f.n, true
-}
