The engine that a home fetches from is looked for only when it is needed

Cause: the second rendezvous was computed for each look at a home, also where the router remembered the holder. No decision changes.

--- a/placement/home.go
+++ b/placement/home.go
@@ -36,6 +36,20 @@
 	return p.holders[parts[len(parts)-1].ID]
 }
 
+// spareHolder returns the engine that is likely to hold what a home has lost of a
+// prompt's shared parts, or nil: the one that this router saw hold them last, or the home
+// among the engines of the other kind.
+func (p *pool) spareHolder(now time.Time, parts []Part, home *server) *server {
+	s := p.holder(parts)
+	if s == nil {
+		s = p.home(now, parts, !home.reader)
+	}
+	if s == nil || s == home || !s.listed {
+		return nil
+	}
+	return s
+}
+
 // hold takes in that an engine holds a prompt's shared parts.
 func (p *pool) hold(parts []Part, s *server) {
 	if len(parts) == 0 {
--- a/placement/pool.go
+++ b/placement/pool.go
@@ -263,9 +263,7 @@
 	}
 	c.unread = max(1, a.Prompt-known)
 	if home {
-		if other := cmp.Or(p.holder(a.Parts), p.home(now, a.Parts, !s.reader)); other != nil && other != s && other.listed {
-			c.source = other
-		}
+		c.source = p.spareHolder(now, a.Parts, s)
 	}
 	if c.missing > 0 && holder != nil && holder != s && holder.filled(now) {
 		c.source = holder
