--- a/cmd/bulrushtally/soak_test.go
+++ b/gateway/soak_test.go
@@ -1,4 +1,4 @@
-package main_test
+package gateway_test
 
 // This file holds the fault soak over real gateway processes: more of them than a small
 // fleet has, in three zones, that are killed, frozen, stopped and started while the store
@@ -89,23 +89,37 @@
 
 func zoneOf(i int) string { return []string{"zone-a", "zone-b", "zone-c"}[i%3] }
 
-// freePort returns a UDP port that is free on loopback.
-func freePort(t *testing.T) int {
+// freeAddress returns a TCP address that is free on loopback.
+func freeAddress(t *testing.T) string {
 	t.Helper()
-	c, err := net.ListenUDP("udp4", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
+	ln, err := net.Listen("tcp4", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer c.Close()
-	return c.LocalAddr().(*net.UDPAddr).Port
+	defer ln.Close()
+	return ln.Addr().String()
 }
 
+// program is the router, built once for all tests.
+var program = sync.OnceValues(func() (string, error) {
+	dir, err := os.MkdirTemp("", "bulrushtally")
+	if err != nil {
+		return "", err
+	}
+	path := filepath.Join(dir, "bulrushtally")
+	out, err := exec.Command("go", "build", "-o", path, "bulrushtally/cmd/bulrushtally").CombinedOutput()
+	if err != nil {
+		return "", fmt.Errorf("%w: %s", err, out)
+	}
+	return path, nil
+})
+
 func (s *soak) newRouter(i int) *soakRouter {
 	s.t.Helper()
 	r := &soakRouter{callers: freeAddress(s.t), ready: freeAddress(s.t), settings: filepath.Join(s.t.TempDir(), "settings.ini")}
 	text := fmt.Sprintf("[vm]\nname = r%02d\nzone = %s\nip = 127.0.0.1\n[callers]\nlisten = %s\nready-listen = %s\n[peers]\nport = %d\n"+
 		"[platform]\naddress = %s\n[bounds]\nrevoke-ms = 5000\ngrace-s = 4\n[log]\nlevel = error\n",
-		i, zoneOf(i), r.callers, r.ready, freePort(s.t), s.store.Address())
+		i, zoneOf(i), r.callers, r.ready, free(s.t), s.store.Address())
 	if err := os.WriteFile(r.settings, []byte(text), 0o600); err != nil {
 		s.t.Fatal(err)
 	}
@@ -279,13 +293,13 @@
 
 func TestFaultSoak(t *testing.T) {
 	s := newSoak(t)
-	if !eventually(20*time.Second, s.allReady) {
+	if !within(20*time.Second, s.allReady) {
 		t.Fatal("not all routers became ready")
 	}
 	stop := make(chan struct{})
 	clients := s.clients(stop)
 	s.shake(time.Now().Add(*soakTime))
-	if !eventually(12*time.Second, s.allReady) {
+	if !within(12*time.Second, s.allReady) {
 		t.Error("not all routers are ready 12 s after the last fault")
 	}
 	// A key that is taken away is refused by all routers, and a new one works at all, though few ask the store.
@@ -300,22 +314,13 @@
 			return true
 		}
 	}
-	if !eventually(2*time.Second, all("key-3", http.StatusOK)) {
+	if !within(2*time.Second, all("key-3", http.StatusOK)) {
 		t.Error("a new key does not work at all routers after 2 s")
 	}
-	if !eventually(5*time.Second, all("key-2", http.StatusUnauthorized)) {
+	if !within(5*time.Second, all("key-2", http.StatusUnauthorized)) {
 		t.Error("a key that was taken away is not refused by all routers after 5 s")
 	}
 	close(stop)
 	clients.Wait()
 	s.checkRuns()
 }
-
-func eventually(d time.Duration, is func() bool) bool {
-	for end := time.Now().Add(d); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
-		if is() {
-			return true
-		}
-	}
-	return is()
-}
