A zone's sums tell which backend servers any of its routers cannot reach

Ruled out by reading: the split of the bound (ranks among known names are distinct), moves (a cold engine is no target). The test fails without it.

--- a/placement/placement_test.go
+++ b/placement/placement_test.go
@@ -423,3 +423,26 @@
 		t.Errorf("got %d tokens served to a customer while another had %d, want at most %d", served, share, most)
 	}
 }
+
+// A backend server that one zone cannot reach may have started anew: routers of other
+// zones hear of it in the zone's sums and treat it as cold.
+func TestZoneTellsWhatItsRoutersCannotReach(t *testing.T) {
+	const id = "i-0"
+	teller, far := newRouter(engines(false), 100, 1), newRouter(engines(false), 100, 1)
+	lost := placement.Load{Server: id, Down: true}
+	teller.Heard(time.Now(), &placement.Summary{Router: "r1", Incarnation: 1, Zone: "zone-a", Loads: []placement.Load{lost}})
+	sums := &placement.Summary{Router: "zone-a/r0", Incarnation: 1, Zone: "zone-a"}
+	teller.FillZone(time.Now(), sums)
+	far.Heard(time.Now(), sums)
+	sent := 0
+	for range 60 {
+		g, _ := admit(far, ask("a", 10))
+		if g == nil {
+			break
+		}
+		sent++
+	}
+	if sent > 1 {
+		t.Errorf("got %d requests at once from one of 100 routers to a server that may be cold, want one at most", sent)
+	}
+}
--- a/placement/server.go
+++ b/placement/server.go
@@ -77,6 +77,7 @@
 type remoteLoad struct {
 	running, tokens int
 	reading         int // tokens that are yet to be read
+	down            bool
 }
 
 func newServer(p *pool, e Entry) *server {
--- a/placement/summary.go
+++ b/placement/summary.go
@@ -102,6 +102,7 @@
 		for _, name := range near {
 			if r, ok := s.remote[name]; ok {
 				l.Running, l.Tokens, l.Reading, told = l.Running+r.running, l.Tokens+r.tokens, l.Reading+r.reading, true
+				l.Down = l.Down || r.down
 			}
 		}
 		if told {
@@ -192,7 +193,7 @@
 	if s == nil {
 		return
 	}
-	s.hear(from, remoteLoad{running: l.Running, tokens: l.Tokens, reading: l.Reading})
+	s.hear(from, remoteLoad{running: l.Running, tokens: l.Tokens, reading: l.Reading, down: l.Down})
 	if more := increase(old.sent, l.Server, l.Sent); more > 0 {
 		s.push(now, more)
 		if old.zone == p.zone {
