The soak's ports lie below those of outgoing connections

The test took ports that the kernel had handed out and given back; another package's connection got them before the process was there. It would have come again whenever a killed router was down. Ruled out: the gateway (it ended with the error, as it should). Bounds are as before.

--- a/gateway/soak_test.go
+++ b/gateway/soak_test.go
@@ -37,6 +37,7 @@
 	orders  []*platformtest.Server
 	routers []*soakRouter
 	client  *http.Client
+	port    int // the last one that was handed out
 
 	mu      sync.Mutex
 	refused map[string]bool // ids of requests that were said not to have run
@@ -57,7 +58,7 @@
 	t.Helper()
 	s := &soak{
 		t: t, rand: rand.New(rand.NewPCG(*soakSeed, 0)), store: platformtest.NewStore(),
-		refused: map[string]bool{}, counts: map[string]int{},
+		refused: map[string]bool{}, counts: map[string]int{}, port: firstPort,
 		client: &http.Client{Timeout: 5 * time.Second, Transport: &http.Transport{DisableCompression: true, DisableKeepAlives: true}},
 	}
 	t.Cleanup(s.store.Close)
@@ -89,17 +90,33 @@
 
 func zoneOf(i int) string { return []string{"zone-a", "zone-b", "zone-c"}[i%3] }
 
-// freeAddress returns a TCP address that is free on loopback.
-func freeAddress(t *testing.T) string {
-	t.Helper()
-	ln, err := net.Listen("tcp4", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
+// firstPort is below the ports that the kernel gives to outgoing connections: one of those
+// could be taken while a router that had it is down.
+const firstPort = 20000
+
+// freePort returns a port of loopback that nobody uses.
+func (s *soak) freePort() int {
+	s.t.Helper()
+	for s.port++; s.port < firstPort+10000; s.port++ {
+		address := fmt.Sprintf("127.0.0.1:%d", s.port)
+		ln, err := net.Listen("tcp4", address)
+		if err != nil {
+			continue
+		}
+		ln.Close()
+		c, err := net.ListenPacket("udp4", address)
+		if err != nil {
+			continue
+		}
+		c.Close()
+		return s.port
 	}
-	defer ln.Close()
-	return ln.Addr().String()
+	s.t.Fatal("no free port")
+	return 0
 }
 
+func (s *soak) freeAddress() string { return fmt.Sprintf("127.0.0.1:%d", s.freePort()) }
+
 // program is the router, built once for all tests.
 var program = sync.OnceValues(func() (string, error) {
 	dir, err := os.MkdirTemp("", "bulrushtally")
@@ -116,10 +133,10 @@
 
 func (s *soak) newRouter(i int) *soakRouter {
 	s.t.Helper()
-	r := &soakRouter{callers: freeAddress(s.t), ready: freeAddress(s.t), settings: filepath.Join(s.t.TempDir(), "settings.ini")}
+	r := &soakRouter{callers: s.freeAddress(), ready: s.freeAddress(), settings: filepath.Join(s.t.TempDir(), "settings.ini")}
 	text := fmt.Sprintf("[vm]\nname = r%02d\nzone = %s\nip = 127.0.0.1\n[callers]\nlisten = %s\nready-listen = %s\n[peers]\nport = %d\n"+
 		"[platform]\naddress = %s\n[bounds]\nrevoke-ms = 5000\ngrace-s = 4\n[log]\nlevel = error\n",
-		i, zoneOf(i), r.callers, r.ready, free(s.t), s.store.Address())
+		i, zoneOf(i), r.callers, r.ready, s.freePort(), s.store.Address())
 	if err := os.WriteFile(r.settings, []byte(text), 0o600); err != nil {
 		s.t.Fatal(err)
 	}
