Logs tell who sends a zone's summary, how old zones' reports are, and what waited unread

What an operator could not tell: why two routers refuse by different shares at the same moment, and whether a router reads requests in time. Change: zone-sender-duty and zone-sender-changed; zones_reporting and oldest_zone_report_ms in the line of an over-share refusal; read_ms in each request's line and the histogram read_seconds; requests-shed once a second. No decision changes.

--- a/gossip/gossip.go
+++ b/gossip/gossip.go
@@ -83,6 +83,8 @@
 	routers map[netip.AddrPort]*router
 	zones   map[string]*remoteZone // other zones that sent zone summaries, by name
 	periods int                    // since the start
+
+	sendsZone bool // whether this router sent the summary of its zone in the last period; used by Run alone
 }
 
 // New returns a Gossip that listens at a UDP address. It fails if the address is invalid or in use.
@@ -192,6 +194,10 @@
 		g.handler.RouterUnreachable(name)
 	}
 	g.handler.FleetChanged(m.fleet)
+	if m.sendsZone != g.sendsZone {
+		g.sendsZone = m.sendsZone
+		g.logger.Info().Bool("sends", m.sendsZone).Int("zone_rank", m.fleet.ZoneRank).Int("routers", m.fleet.Alive).Msg("zone-sender-duty")
+	}
 	if m.sendsZone {
 		g.sendZoneSummary(now, m.forwarders[:min(zoneForwarders, len(m.forwarders))])
 	}
--- a/gossip/zones.go
+++ b/gossip/zones.go
@@ -99,7 +99,7 @@
 		z = &remoteZone{}
 		g.zones[m.Zone] = z
 	}
-	oldSender := z.sender
+	oldSender, age := z.sender, now.Sub(z.lastSeen)
 	z.sender, z.routers, z.lastSeen, z.unreachable, z.forwarders = m.Router, m.ZoneRouters, now, false, nil
 	for _, address := range m.ForwarderAddresses {
 		if a, err := netip.ParseAddrPort(address); err == nil {
@@ -107,6 +107,13 @@
 		}
 	}
 	g.mu.Unlock()
+	if oldSender != m.Router {
+		e := g.logger.Info().Str("of_zone", m.Zone).Str("sender", m.Router).Str("old_sender", oldSender)
+		if oldSender != "" {
+			e = e.Dur("last_summary_ms", age)
+		}
+		e.Msg("zone-sender-changed")
+	}
 	if oldSender != "" && oldSender != m.Router {
 		g.handler.RouterUnreachable(oldSender)
 	}
--- a/ingress/conn.go
+++ b/ingress/conn.go
@@ -20,10 +20,10 @@
 // conn is the connection of a caller. Its requests are served sequentially.
 type conn struct {
 	net.Conn
-	server     *Server
-	watcher    closeWatcher
-	reader     *bufio.Reader
-	acceptedAt time.Time
+	server       *Server
+	watcher      closeWatcher
+	reader       *bufio.Reader
+	requestBegan time.Time // of the first request: when the connection was accepted; of a later one: when its first byte was read
 
 	awaitingFirst bool // the first request has not been read yet
 	keepAliveSet  bool // TCP keep-alive is configured
--- a/ingress/flow.go
+++ b/ingress/flow.go
@@ -97,8 +97,9 @@
 	customer  *route.Customer
 	configAge time.Duration // since the configuration was last confirmed current
 
-	watchClose       func() // from its call on, the request is canceled if the caller disconnects
-	arrived          time.Time
+	watchClose       func()        // from its call on, the request is canceled if the caller disconnects
+	readTime         time.Duration // from conn.requestBegan until the request was read
+	arrived          time.Time     // when the request was read
 	deadline         time.Time
 	digest           uint64
 	placementRequest *placement.Request
@@ -129,6 +130,8 @@
 // serve serves one request and reports whether the connection can be used for another.
 func (f *Flow) serve(c *conn, r *http.Request, body []byte) bool {
 	x := &call{flow: f, conn: c, http: r, body: body, arrived: time.Now()}
+	x.readTime = x.arrived.Sub(c.requestBegan)
+	f.metrics.readTime.RecordDuration(x.readTime)
 	x.meta = f.Headers.parse(r.Header)
 	x.response = newResponseWriter(c, r)
 	if v := x.resolve(); v != nil {
--- a/ingress/log.go
+++ b/ingress/log.go
@@ -12,17 +12,18 @@
 )
 
 // flowMetrics are the metrics of a Flow: calls by status and cause, attempts,
-// requests shed and the time from arrival to the end of each call.
+// requests shed, the time to read each request, and the time from then to the end of the call.
 type flowMetrics struct {
 	scope    tally.Scope
 	attempts tally.Counter // sends to a backend server
 	shed     tally.Counter // requests rejected or dropped before they were served
+	readTime tally.Histogram
 	duration tally.Histogram
 }
 
 func newFlowMetrics(s tally.Scope) flowMetrics {
 	buckets := tally.MustMakeExponentialDurationBuckets(time.Millisecond, 2, 15)
-	return flowMetrics{scope: s, attempts: s.Counter("attempts"), shed: s.Counter("requests_shed"), duration: s.Histogram("answer_seconds", buckets)}
+	return flowMetrics{scope: s, attempts: s.Counter("attempts"), shed: s.Counter("requests_shed"), readTime: s.Histogram("read_seconds", buckets), duration: s.Histogram("answer_seconds", buckets)}
 }
 
 // requestRejected counts a request whose head or body was rejected.
@@ -37,7 +38,7 @@
 	f := x.flow
 	f.metrics.scope.Tagged(map[string]string{"status": strconv.Itoa(status), "cause": cause}).Counter("requests").Inc(1)
 	f.metrics.duration.RecordDuration(elapsed)
-	e := f.Logger.Info().Str("request", x.meta.id).Int("status", status).Str("cause", cause).Dur("duration_ms", elapsed)
+	e := f.Logger.Info().Str("request", x.meta.id).Int("status", status).Str("cause", cause).Dur("read_ms", x.readTime).Dur("duration_ms", elapsed)
 	if x.table != nil {
 		e = e.Uint64("version", x.table.Version()).Dur("since_config_confirmed_ms", x.configAge)
 	}
@@ -56,7 +57,7 @@
 		e = e.Int("unusable", s.Unusable).Int("reserved", s.Reserved).Int("full", s.Full).Int("busy", s.Busy).Dur("best_expected_first_event_ms", s.ShortestFirstEvent)
 	}
 	if s := v.share; cause == string(placement.OverShare) {
-		e = e.Int("share_tokens", int(s.FairShare)).Int("served_tokens", int(s.Served)).Int("least_served_tokens", int(s.LeastServed)).Float64("idle_spare_fraction", s.IdleSpareFraction)
+		e = e.Int("share_tokens", int(s.FairShare)).Int("served_tokens", int(s.Served)).Int("least_served_tokens", int(s.LeastServed)).Float64("idle_spare_fraction", s.IdleSpareFraction).Int("zones_reporting", s.Zones).Dur("oldest_zone_report_ms", s.OldestZoneReport)
 	}
 	if v.retryAfter > 0 {
 		e = e.Dur("retry_after_ms", v.retryAfter)
--- a/ingress/server.go
+++ b/ingress/server.go
@@ -38,8 +38,10 @@
 	inFlight  atomic.Int64
 	admission admission
 
-	mu    sync.Mutex
-	conns map[*conn]bool // open connections; the value tells whether a request is in flight
+	mu        sync.Mutex
+	conns     map[*conn]bool // open connections; the value tells whether a request is in flight
+	shed      int            // requests dropped before they were served, since shedSince
+	shedSince time.Time
 }
 
 // NewServer listens on a TCP address and allows the given number of open connections.
@@ -131,7 +133,7 @@
 
 // serve serves the requests of one connection and closes it.
 func (s *Server) serve(nc net.Conn) {
-	c := &conn{Conn: nc, server: s, acceptedAt: time.Now(), awaitingFirst: true}
+	c := &conn{Conn: nc, server: s, requestBegan: time.Now(), awaitingFirst: true}
 	c.watcher = newCloseWatcher(nc)
 	s.admission.attachReader(c)
 	s.setBusy(c, false)
@@ -149,10 +151,24 @@
 	}
 }
 
+// shedLogInterval is the least time between two lines that tell how many requests were shed.
+const shedLogInterval = time.Second
+
 // countShed counts a request that was dropped before it was served, and logs err if the
 // caller got no response.
 func (s *Server) countShed(err error) {
 	s.flow.metrics.shed.Inc(1)
+	s.mu.Lock()
+	s.shed++
+	shed, since, now := s.shed, s.shedSince, time.Now()
+	due := now.Sub(since) >= shedLogInterval
+	if due {
+		s.shed, s.shedSince = 0, now
+	}
+	s.mu.Unlock()
+	if due {
+		s.logger.Warn().Int("requests", shed).Time("since", since).Int64("waiting_unread", s.admission.awaitingFirst.Load()).Int64("open", s.admission.open.Load()).Msg("requests-shed")
+	}
 	if err != nil {
 		s.logger.Debug().Err(err).Msg("shed-without-response")
 	}
@@ -173,6 +189,9 @@
 		c.closedIdle = errors.Is(err, io.EOF)
 		return false
 	}
+	if !c.awaitingFirst {
+		c.requestBegan = time.Now()
+	}
 	s.setBusy(c, true)
 	defer s.setBusy(c, false)
 	c.SetReadDeadline(time.Now().Add(l.headTimeout))
@@ -185,7 +204,7 @@
 		return false
 	}
 	c.SetReadDeadline(time.Time{})
-	stale := c.awaitingFirst && time.Since(c.acceptedAt) > staleAfter
+	stale := c.awaitingFirst && time.Since(c.requestBegan) > staleAfter
 	s.admission.firstRequestEnded(c)
 	if stale && c.closedByCaller() {
 		s.countShed(errLeftBeforeServed)
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -81,6 +81,9 @@
 	Served            float64 // cost of the customer's requests that were sent to servers
 	LeastServed       float64 // served cost of the least-served backlogged customer, and at least the fair share; 0 if no customer is backlogged
 	IdleSpareFraction float64 // fraction of the spare capacity that customers far above their fair share may use too, because servers are idle
+
+	Zones            int           // number of other zones whose summaries come
+	OldestZoneReport time.Duration // age of the oldest of their last summaries
 }
 
 // Rejections counts the backend servers that were passed over in a search, by reason.
--- a/placement/queue.go
+++ b/placement/queue.go
@@ -53,12 +53,24 @@
 // refusal returns the Refusal of a request that got no server.
 func (p *Placement) refusal(now time.Time, pl *pool, w *waiter) *Refusal {
 	s := p.shares
+	zones, oldest := p.zoneReports(now)
 	return &Refusal{
 		Reason: w.reason(), RetryAfter: p.retryAfter(w.request, w.overShare), Rejections: w.rejections,
-		Share: ShareState{FairShare: s.fairShare, Served: w.usage.served.sum(s.bucket(now)), LeastServed: s.leastServed, IdleSpareFraction: pl.idleSpareFraction},
+		Share: ShareState{FairShare: s.fairShare, Served: w.usage.served.sum(s.bucket(now)), LeastServed: s.leastServed, IdleSpareFraction: pl.idleSpareFraction, Zones: zones, OldestZoneReport: oldest},
 	}
 }
 
+// zoneReports returns how many other zones send summaries, and the age of the oldest of their last ones.
+func (p *Placement) zoneReports(now time.Time) (zones int, oldest time.Duration) {
+	for _, peer := range p.peers {
+		if peer.zoneRouters > 0 {
+			zones++
+			oldest = max(oldest, now.Sub(peer.reportedAt))
+		}
+	}
+	return zones, oldest
+}
+
 // releaseReservations releases the servers that are reserved for a request.
 func (pl *pool) releaseReservations(w *waiter) {
 	for _, s := range pl.servers {
--- a/placement/summary.go
+++ b/placement/summary.go
@@ -65,6 +65,7 @@
 	zone        string
 	zoneRouters int // number of routers that the summary covers; 0 if it covers one router
 	incarnation uint64
+	reportedAt  time.Time         // when the last summary came
 	sentTokens  map[string]uint64 // by server ID
 	demand      map[string]uint64 // by customer
 	served      map[string]uint64 // by customer
@@ -171,6 +172,7 @@
 			s.removeRemoteLoad(m.Router)
 		}
 	}
+	peer.reportedAt = now
 	for id := range peer.sentTokens {
 		if s := p.servers[id]; s != nil {
 			s.removeRemoteLoad(m.Router)
