A zone always has a sender of its summary: routers announce whether they are candidates

Cause: the first router of a zone by name sends the zone's summary, but one that has just started did not for 32 periods (15 s with 77 routers), while the others, who saw it alive, left the task to it. Nobody sent it: other zones computed shares without that zone's demand and usage. Change: a router announces itself as a candidate once it has heard its zone for 2 s and while it stays; the first candidate sends. So he who is taken for the sender is one that knows it. A zone summary of another sender that covers fewer routers is ignored, and zones are known by their names, not by their senders'.

--- a/gateway/fleet.go
+++ b/gateway/fleet.go
@@ -31,7 +31,7 @@
 func (g *Gateway) ZoneSummary() *placement.Summary {
 	confirmed := g.operatorRows.lastConfirmation()
 	m := &placement.Summary{
-		Router: g.settings.Zone + "/" + g.settings.VM, Incarnation: g.incarnation, Zone: g.settings.Zone, Address: g.gossip.Address(),
+		Router: g.settings.Zone, Sender: g.settings.VM, Incarnation: g.incarnation, Zone: g.settings.Zone, Address: g.gossip.Address(),
 		Crashes: g.suspects.reportZone(), ServerRowsVersion: g.followers.servers.NewestRow(), OperatorRowsVersion: g.followers.operator.NewestRow(),
 		ConfigVersion: confirmed.version, ConfirmedAt: uint64(confirmed.storeClock.Milliseconds()),
 	}
--- a/gossip/gossip.go
+++ b/gossip/gossip.go
@@ -66,6 +66,7 @@
 	lastSeen    time.Time
 	unreachable bool
 	leaving     bool
+	candidate   bool // it may send the summary of its zone; see Summary.ZoneCandidate
 }
 
 // Gossip exchanges summaries with all known routers, or in a large fleet with those of the same
@@ -84,7 +85,11 @@
 	zones   map[string]*remoteZone // other zones that sent zone summaries, by name
 	periods int                    // since the start
 
-	sendsZone bool // whether this router sent the summary of its zone in the last period; used by Run alone
+	// Used by Run alone.
+	startedAt time.Time
+	leaving   bool // the last summary announced that this router leaves
+	announced bool // the last summary announced that this router is a candidate for its zone's summary
+	sendsZone bool // this router sent the summary of its zone in the last period
 }
 
 // New returns a Gossip that listens at a UDP address. It fails if the address is invalid or in use.
@@ -128,6 +133,7 @@
 		defer close(updatesDone)
 		g.sendUpdates(ctx)
 	}()
+	g.startedAt = time.Now()
 	for ctx.Err() == nil {
 		period := g.sendSummary(time.Now())
 		select {
@@ -149,7 +155,11 @@
 	if len(to) == 0 {
 		return due
 	}
-	data, err := cbor.Marshal(g.handler.Summary())
+	m := g.handler.Summary()
+	g.leaving = m.Leaving
+	m.ZoneCandidate = g.candidate(now)
+	g.announced = m.ZoneCandidate
+	data, err := cbor.Marshal(m)
 	if err != nil || len(data) > maxDatagramBytes {
 		g.logger.Warn().Err(err).Int("bytes", len(data)).Msg("summary-not-sent")
 		return due
@@ -210,6 +220,7 @@
 	targets    []netip.AddrPort // addresses that get a summary
 	live       []string         // names of the other reachable routers
 	zoneLive   []string         // those of live that are in this zone
+	candidates []string         // those of zoneLive that may send the summary of the zone
 	known      []string         // names of all other routers
 	forwarders []string         // addresses of this zone's reachable routers: this one, then the others by name; the first zoneForwarders forward zone summaries
 	timedOut   []string         // senders of summaries that have become unreachable
@@ -231,7 +242,7 @@
 	m.fleet = Fleet{Alive: 1 + len(m.live), Known: len(g.routers) + 1, Rank: rank(m.live, g.self), ZoneRank: rank(m.zoneLive, g.self), Period: period(len(m.targets))}
 	if g.large() {
 		m.fleet.Alive, m.fleet.Rank = 1+len(m.zoneLive)+remote, rank(m.known, g.self)
-		m.sendsZone = !g.starting() && m.fleet.ZoneRank == 0
+		m.sendsZone = g.announced && rank(m.candidates, g.self) == 0
 	}
 	return m
 }
@@ -249,6 +260,9 @@
 		m.live = append(m.live, r.name)
 		if sameZone {
 			m.zoneLive = append(m.zoneLive, r.name)
+			if r.candidate {
+				m.candidates = append(m.candidates, r.name)
+			}
 			m.forwarders = append(m.forwarders, r.address.String())
 		}
 	case age >= peerTimeout && !r.unreachable && !r.lastSeen.IsZero():
@@ -345,7 +359,7 @@
 		g.routers[a] = r
 	}
 	becameReachable := r.unreachable || r.name != m.Router
-	r.name, r.zone, r.lastSeen, r.unreachable, r.leaving = m.Router, m.Zone, time.Now(), false, m.Leaving
+	r.name, r.zone, r.lastSeen, r.unreachable, r.leaving, r.candidate = m.Router, m.Zone, time.Now(), false, m.Leaving, m.ZoneCandidate
 	g.mu.Unlock()
 	if becameReachable {
 		g.logger.Info().Str("router", m.Router).Str("address", from).Msg("router-reachable")
--- a/gossip/gossip_test.go
+++ b/gossip/gossip_test.go
@@ -9,6 +9,7 @@
 	"testing"
 	"time"
 
+	"github.com/fxamacker/cbor/v2"
 	"github.com/rs/zerolog"
 
 	"bulrushtally/gossip"
@@ -25,6 +26,8 @@
 	unreachable map[string]bool
 	alive       int
 	address     string
+	zoneHeardAt map[string]time.Time     // when the last zone summary came, by zone
+	zoneSilence map[string]time.Duration // longest time between two zone summaries, by zone
 }
 
 func (r *recordingHandler) Summary() *placement.Summary {
@@ -37,11 +40,28 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.received[m.Router]++
+	if m.ZoneRouters == 0 {
+		return
+	}
+	now := time.Now()
+	if last, ok := r.zoneHeardAt[m.Zone]; ok {
+		r.zoneSilence[m.Zone] = max(r.zoneSilence[m.Zone], now.Sub(last))
+	}
+	r.zoneHeardAt[m.Zone] = now
+}
+
+// silence returns the longest time without a summary of a zone since the last call, up to now.
+func (r *recordingHandler) silence(zone string) time.Duration {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	longest := max(r.zoneSilence[zone], time.Since(r.zoneHeardAt[zone]))
+	clear(r.zoneSilence)
+	return longest
 }
 
 func (r *recordingHandler) ZoneSummary() *placement.Summary {
 	m := r.Summary()
-	m.Router, m.Zone, m.ZoneRouters = "zone/"+r.name, r.zone, 1
+	m.Router, m.Sender, m.Zone, m.ZoneRouters = "zone/"+r.name, r.name, r.zone, 1
 	return m
 }
 
@@ -80,7 +100,7 @@
 
 func startInZone(t *testing.T, zone, name string) (*gossip.Gossip, *recordingHandler, context.CancelFunc) {
 	t.Helper()
-	r := &recordingHandler{name: name, zone: zone, received: map[string]int{}, unreachable: map[string]bool{}}
+	r := &recordingHandler{name: name, zone: zone, received: map[string]int{}, unreachable: map[string]bool{}, zoneHeardAt: map[string]time.Time{}, zoneSilence: map[string]time.Duration{}}
 	g, err := gossip.New(name, zone, "127.0.0.1:0", r, zerolog.Nop())
 	if err != nil {
 		t.Fatal(err)
@@ -130,26 +150,26 @@
 	}
 }
 
-// In a large fleet zones receive each other's zone summaries, also after the router that sends
-// them for a zone has stopped.
-func TestZonesExchangeSummaries(t *testing.T) {
-	var routers []*recordingHandler
-	var first *gossip.Gossip
-	stops := map[string]context.CancelFunc{}
+// startLargeFleet starts routers r00, r01 and so on, alternately of zone-a and zone-b, that know each other.
+// It also returns the functions that stop them.
+func startLargeFleet(t *testing.T) (routers []*recordingHandler, stops map[string]context.CancelFunc) {
+	t.Helper()
+	stops = map[string]context.CancelFunc{}
 	for i := range gossip.ZoneSummaryThreshold + 4 {
-		zone := []string{"zone-a", "zone-b"}[i%2]
-		g, r, stop := startInZone(t, zone, fmt.Sprintf("r%02d", i))
+		g, r, stop := startInZone(t, []string{"zone-a", "zone-b"}[i%2], fmt.Sprintf("r%02d", i))
 		stops[r.name] = stop
-		routers = append(routers, r)
-		if first == nil {
-			first = g
-			continue
-		}
-		g.Add("r00", first.Address())
-		for _, o := range routers[:i] {
+		for _, o := range routers {
 			g.Add(o.name, o.address)
 		}
+		routers = append(routers, r)
 	}
+	return routers, stops
+}
+
+// In a large fleet zones receive each other's zone summaries, also after the router that sends
+// them for a zone has stopped.
+func TestZonesExchangeSummaries(t *testing.T) {
+	routers, stops := startLargeFleet(t)
 	last := routers[len(routers)-1] // of zone-b
 	receives := func(r *recordingHandler, sender string) bool {
 		return r.eventually(func() bool { n := r.received[sender]; r.received[sender] = 0; return n > 0 })
@@ -173,3 +193,62 @@
 		t.Error("routers of the other zone still send their own summaries across zones after 6 s")
 	}
 }
+
+// A returned router is first by name again at once; it sent no zone summary for 32 periods, and nobody else did.
+func TestZoneIsHeardWhileItsFirstRouterReturns(t *testing.T) {
+	routers, stops := startLargeFleet(t)
+	last := routers[len(routers)-1] // of zone-b
+	hearsZoneFrom := func(sender string) bool {
+		return last.eventually(func() bool { n := last.received["zone/"+sender]; clear(last.received); return n > 0 })
+	}
+	if !hearsZoneFrom("r00") {
+		t.Fatal("a router received no summary of the other zone within 6 s")
+	}
+	stops["r00"]()
+	if !hearsZoneFrom("r02") {
+		t.Fatal("no other router sends the zone's summary within 6 s after the first one stopped")
+	}
+	g, _, _ := startInZone(t, "zone-a", "r00")
+	for _, o := range routers[1:] {
+		g.Add(o.name, o.address)
+	}
+	last.silence("zone-a")
+	time.Sleep(8 * time.Second)
+	const reachable = 2 * time.Second // time without summaries after which a zone counts as unreachable
+	if got := last.silence("zone-a"); got > reachable {
+		t.Errorf("the other zone was silent for %v while its first router returned, want at most %v", got, reachable)
+	}
+	if !hearsZoneFrom("r00") {
+		t.Error("the returned router does not send its zone's summary within 6 s")
+	}
+}
+
+// A router that is cut off within its zone takes itself for the sender; its summary of one router replaced the zone's.
+func TestZoneSummaryOfFewerRoutersIsIgnored(t *testing.T) {
+	g, r, _ := start(t, "r1")
+	c, err := net.Dial("udp4", g.Address())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	const kindForwarded = 'p'
+	for _, m := range []placement.Summary{
+		{Router: "whole", Zone: "zone-b", Sender: "b1", ZoneRouters: 5},
+		{Router: "part", Zone: "zone-b", Sender: "b2", ZoneRouters: 1},
+		{Router: "whole", Zone: "zone-b", Sender: "b1", ZoneRouters: 4},
+	} {
+		data, err := cbor.Marshal(m)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if _, err := c.Write(append(data, kindForwarded)); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if !r.eventually(func() bool { return r.received["whole"] == 2 }) {
+		t.Fatal("the router did not receive two summaries of the whole zone within 6 s")
+	}
+	if got := r.received["part"]; got != 0 {
+		t.Errorf("got %d summaries of a part of the zone, want 0", got)
+	}
+}
--- a/gossip/zones.go
+++ b/gossip/zones.go
@@ -4,10 +4,11 @@
 // router sends its own summary. Between zones one zone summary is sent for all routers of a
 // zone. Otherwise the number of datagrams would grow with the square of the fleet.
 //
-// The reachable router of a zone that is first by name sends the zone summary to two routers in
-// each other zone, the forwarders, which forward it within their zone. The next message compensates
-// for a lost one. If the sender of a zone fails, the next router by name takes over after
-// peerTimeout.
+// Of a zone's candidates, the first by name sends the zone summary to two routers in each other
+// zone, the forwarders, which forward it within their zone. Each router announces in its summaries
+// whether it is a candidate, so that a router which the others take for the sender does send. The
+// next message compensates for a lost one. If the sender of a zone fails, the next candidate takes
+// over after peerTimeout.
 
 import (
 	"net/netip"
@@ -28,7 +29,7 @@
 
 // remoteZone is another availability zone, by its last zone summary.
 type remoteZone struct {
-	sender      string           // name in its last zone summary
+	sender      string           // router that sent its last zone summary
 	forwarders  []netip.AddrPort // routers that forward zone summaries within the zone
 	routers     int
 	lastSeen    time.Time
@@ -42,6 +43,12 @@
 // routers, also in a large fleet; g.mu is held.
 func (g *Gossip) starting() bool { return g.periods < 2*retryPeriods }
 
+// candidate reports whether this router may send the summary of its zone: it has heard the zone's
+// other routers for peerTimeout, and it stays.
+func (g *Gossip) candidate(now time.Time) bool {
+	return !g.leaving && now.Sub(g.startedAt) >= peerTimeout
+}
+
 // sendZoneSummary sends the summary of this router's zone, with the addresses of the zone's
 // forwarders, to the forwarders of the other zones.
 func (g *Gossip) sendZoneSummary(now time.Time, forwarders []string) {
@@ -87,7 +94,8 @@
 }
 
 // handleZoneSummary processes the summary of another zone and forwards it within this zone, unless
-// it has been forwarded already.
+// it has been forwarded already. While a zone has two senders, the one that covers fewer routers is
+// ignored: it may be cut off within its zone, or have just resumed.
 func (g *Gossip) handleZoneSummary(m *placement.Summary, data []byte, kind byte) {
 	if m.Zone == g.zone {
 		return
@@ -100,22 +108,19 @@
 		g.zones[m.Zone] = z
 	}
 	oldSender, age := z.sender, now.Sub(z.lastSeen)
-	z.sender, z.routers, z.lastSeen, z.unreachable, z.forwarders = m.Router, m.ZoneRouters, now, false, nil
+	if m.Sender != oldSender && m.ZoneRouters < z.routers && age < peerTimeout {
+		g.mu.Unlock()
+		return
+	}
+	z.sender, z.routers, z.lastSeen, z.unreachable, z.forwarders = m.Sender, m.ZoneRouters, now, false, nil
 	for _, address := range m.ForwarderAddresses {
 		if a, err := netip.ParseAddrPort(address); err == nil {
 			z.forwarders = append(z.forwarders, a)
 		}
 	}
 	g.mu.Unlock()
-	if oldSender != m.Router {
-		e := g.logger.Info().Str("of_zone", m.Zone).Str("sender", m.Router).Str("old_sender", oldSender)
-		if oldSender != "" {
-			e = e.Dur("last_summary_ms", age)
-		}
-		e.Msg("zone-sender-changed")
-	}
-	if oldSender != "" && oldSender != m.Router {
-		g.handler.RouterUnreachable(oldSender)
+	if oldSender != m.Sender {
+		g.logZoneSender(m, oldSender, age)
 	}
 	if kind == kindZone {
 		g.send(append(slices.Clone(data), kindForwarded), g.zonePeers(now))
@@ -123,9 +128,19 @@
 	g.handler.ApplySummary(m)
 }
 
-// timedOutZones returns the senders of zones that have become unreachable, and how many routers
-// the reachable zones have; g.mu is held.
-func (g *Gossip) timedOutZones(now time.Time) (senders []string, routers int) {
+// logZoneSender logs that another router sends the summaries of a zone. age is the time since the last
+// summary of the old sender, which is "" if there was none.
+func (g *Gossip) logZoneSender(m *placement.Summary, oldSender string, age time.Duration) {
+	e := g.logger.Info().Str("of_zone", m.Zone).Str("sender", m.Sender).Str("old_sender", oldSender).Int("zone_routers", m.ZoneRouters)
+	if oldSender != "" {
+		e = e.Dur("last_summary_ms", age)
+	}
+	e.Msg("zone-sender-changed")
+}
+
+// timedOutZones returns the zones that have become unreachable, and how many routers the reachable
+// zones have; g.mu is held.
+func (g *Gossip) timedOutZones(now time.Time) (zones []string, routers int) {
 	for name, z := range g.zones {
 		if g.zoneReachable(now, name) {
 			routers += z.routers
@@ -133,8 +148,8 @@
 		}
 		if !z.unreachable {
 			z.unreachable = true
-			senders = append(senders, z.sender)
+			zones = append(zones, name)
 		}
 	}
-	return senders, routers
+	return zones, routers
 }
--- a/placement/summary.go
+++ b/placement/summary.go
@@ -35,10 +35,12 @@
 // for a lost one and a duplicate has no effect.
 type Summary struct {
 	_                   struct{} `cbor:",toarray"`
-	Router              string
-	Incarnation         uint64
+	Router              string   // name of the router, or of the zone
+	Incarnation         uint64   // of the sender
 	Zone                string
+	ZoneCandidate       bool     // the router may send the summary of its zone
 	ZoneRouters         int      // number of routers of the zone that it covers; 0 if it covers one router
+	Sender              string   // router that sent the summary of the zone; "" if it covers one router
 	ForwarderAddresses  []string // addresses of the zone's routers that receive the summaries of other zones and forward them within the zone
 	Address             string   // address that the router receives summaries at
 	Leaving             bool     // the router is shutting down
