Customers' usage is reported as sums over the window, which any router of a zone can report

What callers saw: after each change of the router that sends a zone's summary, the other zones computed shares without what that zone had given, so customers at different zones were held to different shares. Cause: usage was reported by counters since a router's start, relative to the first one that a receiver met: the first report of a sender, or of a customer, added nothing, and two senders in turn (a router that is stopping and its successor) added nothing at all. Change: a report holds the sums over the sliding window and replaces the sender's last one. TestUsageIsKeptWhenAnotherRouterReportsForItsZone failed before (0 of 400,100 in each of three reports) and passes.

--- a/placement/placement.go
+++ b/placement/placement.go
@@ -293,9 +293,7 @@
 		pl.retries.recordRequest(now, p.limits.RetryWindow)
 	}
 	if req.PromptTokens > 0 {
-		c := p.shares.customer(req.Customer)
-		c.demand.add(p.shares.bucket(now), req.cost())
-		c.demandCounter += uint64(req.cost())
+		p.shares.customer(req.Customer).demand.add(p.shares.bucket(now), req.cost())
 	}
 }
 
@@ -316,7 +314,7 @@
 	}
 	c := p.shares.customer(req.Customer)
 	overShare := req.PromptTokens > 0 && p.shares.exceedsShare(now, c, req.cost())
-	w := &waiter{request: req, usage: c, arrivedAt: now, overShare: overShare}
+	w := &waiter{request: req, customer: c, arrivedAt: now, overShare: overShare}
 	if !pl.mustQueue(w) {
 		if g := p.tryGrant(now, pl, w); g != nil {
 			p.mu.Unlock()
@@ -352,7 +350,7 @@
 func (p *Placement) grant(now time.Time, pl *pool, c candidate, w *waiter) *Grant {
 	s, req := c.server, w.request
 	g := &Grant{
-		placement: p, server: s, request: req, customer: w.usage,
+		placement: p, server: s, request: req, customer: w.customer,
 		id: s.ID, address: s.Address, sentAt: now, prefillTokens: c.prefillTokens, prefillCost: c.prefillCost, expectedFirstEvent: c.firstEvent,
 	}
 	if !c.isOwner {
@@ -374,8 +372,7 @@
 		s.pendingCost += c.prefillCost
 		s.sentTokens += uint64(c.prefillCost)
 		s.segments.recordUse(req.Segments)
-		w.usage.served.add(p.shares.bucket(now), req.cost())
-		w.usage.servedCounter += uint64(req.cost())
+		w.customer.served.add(p.shares.bucket(now), req.cost())
 	}
 	return g
 }
--- a/placement/placement_test.go
+++ b/placement/placement_test.go
@@ -458,3 +458,60 @@
 		t.Errorf("got %d requests at once from one of 100 routers to a server that may be cold, want at most 1", sent)
 	}
 }
+
+// servedCost returns the served cost of a customer as a placement knows it, from the refusal of a request that
+// was sent to the only server, i-0, before.
+func servedCost(t *testing.T, p *placement.Placement, customer string) float64 {
+	t.Helper()
+	req := newRequest(customer, 10)
+	req.Tried = []string{"i-0"}
+	_, r := admitWithoutWaiting(p, req)
+	if r == nil {
+		t.Fatal("got a server, want a refusal")
+	}
+	return r.Share.Served
+}
+
+// Usage was reported by counters since a router's start, so it was lost whenever another router sent the zone's summary.
+func TestUsageIsKeptWhenAnotherRouterReportsForItsZone(t *testing.T) {
+	a1, a2 := newPlacement(modelServices(false), 1, 1), newPlacement(modelServices(false), 1, 1)
+	b := placement.New(placement.Options{Zone: "zone-b", Limits: limits, Routers: 1, Now: time.Now()})
+	b.Configure(modelServices(false))
+	b.SetServer(time.Now(), placement.ServerEntry{ID: "i-0", Service: "models", Address: "127.0.0.1:1", Zone: "zone-a", Slots: 64})
+	report := func(p *placement.Placement, incarnation uint64) {
+		m := &placement.Summary{Router: "zone-a", Incarnation: incarnation, Zone: "zone-a"}
+		p.FillZoneSummary(time.Now(), m)
+		b.ApplySummary(time.Now(), m)
+	}
+	exchange := func() {
+		m1, m2 := &placement.Summary{Router: "a1", Incarnation: 1, Zone: "zone-a"}, &placement.Summary{Router: "a2", Incarnation: 2, Zone: "zone-a"}
+		a1.FillSummary(time.Now(), m1)
+		a2.FillSummary(time.Now(), m2)
+		a1.ApplySummary(time.Now(), m2)
+		a2.ApplySummary(time.Now(), m1)
+	}
+	const cost = 10 + 2*20000
+	serve := func(p *placement.Placement) {
+		for range 5 {
+			req := newRequest("x", 10)
+			req.OutputTokens = 20000
+			g, r := admitWithoutWaiting(p, req)
+			if g == nil {
+				t.Fatalf("got %v, want a server", r)
+			}
+			g.RecordFirstEvent(time.Now())
+			g.End(time.Now(), placement.Done)
+		}
+	}
+	exchange()
+	report(a1, 1)
+	serve(a1)
+	serve(a2)
+	exchange()
+	for i, p := range []*placement.Placement{a1, a2, a1} {
+		report(p, uint64(i%2+1))
+		if got, want := servedCost(t, b, "x"), float64(10*cost); got != want {
+			t.Errorf("report %d: got a served cost of %.0f in the other zone, want %.0f", i, got, want)
+		}
+	}
+}
--- a/placement/queue.go
+++ b/placement/queue.go
@@ -12,7 +12,7 @@
 // waiter is a request that needs a server.
 type waiter struct {
 	request    *Request
-	usage      *customer
+	customer   *customer
 	arrivedAt  time.Time
 	granted    chan *Grant // holds one grant; nil until the request is queued
 	overShare  bool        // the customer was above its fair share at the last check
@@ -53,24 +53,13 @@
 // refusal returns the Refusal of a request that got no server.
 func (p *Placement) refusal(now time.Time, pl *pool, w *waiter) *Refusal {
 	s := p.shares
-	zones, oldest := p.zoneReports(now)
+	zones, oldest := s.zoneReports(now)
 	return &Refusal{
 		Reason: w.reason(), RetryAfter: p.retryAfter(w.request, w.overShare), Rejections: w.rejections,
-		Share: ShareState{FairShare: s.fairShare, Served: w.usage.served.sum(s.bucket(now)), LeastServed: s.leastServed, IdleSpareFraction: pl.idleSpareFraction, Zones: zones, OldestZoneReport: oldest},
+		Share: ShareState{FairShare: s.fairShare, Served: w.customer.usage(s.bucket(now)).served, LeastServed: s.leastServed, IdleSpareFraction: pl.idleSpareFraction, Zones: zones, OldestZoneReport: oldest},
 	}
 }
 
-// zoneReports returns how many other zones send summaries, and the age of the oldest of their last ones.
-func (p *Placement) zoneReports(now time.Time) (zones int, oldest time.Duration) {
-	for _, peer := range p.peers {
-		if peer.zoneRouters > 0 {
-			zones++
-			oldest = max(oldest, now.Sub(peer.reportedAt))
-		}
-	}
-	return zones, oldest
-}
-
 // releaseReservations releases the servers that are reserved for a request.
 func (pl *pool) releaseReservations(w *waiter) {
 	for _, s := range pl.servers {
@@ -129,8 +118,8 @@
 		return !w.overShare
 	case w.request.Priority != x.request.Priority:
 		return w.request.Priority < x.request.Priority
-	case w.usage != x.usage && w.request.PromptTokens > 0:
-		return w.usage.served.sum(bucket) < x.usage.served.sum(bucket)
+	case w.customer != x.customer && w.request.PromptTokens > 0:
+		return w.customer.usage(bucket).served < x.customer.usage(bucket).served
 	}
 	return w.arrivedAt.Before(x.arrivedAt)
 }
@@ -139,7 +128,7 @@
 // fair-share state is waiting, which the new request must not overtake.
 func (pl *pool) mustQueue(w *waiter) bool {
 	for _, x := range pl.waiting {
-		if x.overShare == w.overShare && x.request.Late == w.request.Late && x.request.Priority == w.request.Priority && x.usage == w.usage {
+		if x.overShare == w.overShare && x.request.Late == w.request.Late && x.request.Priority == w.request.Priority && x.customer == w.customer {
 			return true
 		}
 	}
@@ -160,7 +149,7 @@
 	}
 	n := 0
 	for _, x := range pl.waiting {
-		if x.usage == w.usage && x.spareOnly() {
+		if x.customer == w.customer && x.spareOnly() {
 			n++
 		}
 	}
@@ -185,7 +174,7 @@
 	misses := max(minMisses, searchBudget/max(1, len(pl.servers)))
 	bucket := p.shares.bucket(now)
 	for _, w := range pl.waiting {
-		w.overShare = w.request.PromptTokens > 0 && p.shares.exceedsShare(now, w.usage, w.request.cost())
+		w.overShare = w.request.PromptTokens > 0 && p.shares.exceedsShare(now, w.customer, w.request.cost())
 	}
 	slices.SortStableFunc(pl.waiting, func(a, b *waiter) int {
 		switch {
--- a/placement/server.go
+++ b/placement/server.go
@@ -161,7 +161,7 @@
 // reservedForOther reports whether the server is reserved for another request which w
 // must not overtake.
 func (s *server) reservedForOther(w *waiter) bool {
-	return s.reservedFor != nil && s.reservedFor != w && (w.spareOnly() || w.usage == s.reservedFor.usage || s.reservedFor.arrivedAt.Before(w.arrivedAt))
+	return s.reservedFor != nil && s.reservedFor != w && (w.spareOnly() || w.customer == s.reservedFor.customer || s.reservedFor.arrivedAt.Before(w.arrivedAt))
 }
 
 // usable reports whether new requests may be sent to the server.
--- a/placement/share.go
+++ b/placement/share.go
@@ -8,22 +8,45 @@
 	"time"
 )
 
-// customer holds one customer's demand and usage over the sliding window: the cost of the
-// requests that arrived (demand) and of those that were sent to backend servers (served).
+// usage is one customer's cost over the sliding window: of the requests that arrived (demand) and of
+// those that were sent to backend servers (served).
+type usage struct {
+	demand, served float64
+}
+
+// addScaled adds a fraction of v.
+func (u *usage) addScaled(v usage, fraction float64) {
+	u.demand += fraction * v.demand
+	u.served += fraction * v.served
+}
+
+// customer is one customer, with its usage at this router and elsewhere.
 type customer struct {
 	name           string
-	demand, served slidingSum // of all routers
-	demandCounter  uint64     // demand at this router since its start, for its summaries
-	servedCounter  uint64     // served cost at this router since its start, for its summaries
-	zoneDemand     uint64     // demand at the other routers of its zone, from their summaries
-	zoneServed     uint64
+	demand, served slidingSum // at this router
+	remote         usage      // at the other routers and zones, by their reports
+}
+
+// usage returns the customer's usage in the window that ends with a bucket, over all routers.
+func (c *customer) usage(bucket int64) usage {
+	u := c.local(bucket)
+	u.addScaled(c.remote, 1)
+	return u
+}
+
+// local returns the customer's usage at this router.
+func (c *customer) local(bucket int64) usage {
+	return usage{demand: c.demand.sum(bucket), served: c.served.sum(bucket)}
 }
 
-// shares holds the demand and served cost of all customers, and the fair share that is
-// computed from them. A customer is backlogged if its demand is above the fair share and
-// less than the fraction backloggedBelow of that demand was served.
+// shares holds the usage of all customers and the fair share that is computed from it. A customer is
+// backlogged if its demand is above the fair share and less than the fraction backloggedBelow of
+// that demand was served.
+//
+// Invariant: a customer's remote usage is the sum of the reports by their weights.
 type shares struct {
 	customers       map[string]*customer
+	reports         map[string]*usageReport // by router, or by zone
 	startedAt       time.Time
 	capacity        float64   // cost per second; 0 if unknown
 	fairShare       float64   // max-min fair share in cost per window; 0 if capacity exceeds demand
@@ -34,7 +57,7 @@
 
 // newShares returns shares without customers, with buckets counted from now.
 func newShares(now time.Time) *shares {
-	return &shares{customers: map[string]*customer{}, startedAt: now}
+	return &shares{customers: map[string]*customer{}, reports: map[string]*usageReport{}, startedAt: now}
 }
 
 // bucket returns the number of the bucket that a time lies in.
@@ -58,9 +81,10 @@
 func (s *shares) exceedsShare(now time.Time, c *customer, cost float64) bool {
 	bucket := s.bucket(now)
 	if bucket != s.refreshedBucket {
+		s.ageReports(now)
 		s.refresh(bucket)
 	}
-	return s.fairShare > 0 && c.served.sum(bucket)+cost/2 > s.fairShare
+	return s.fairShare > 0 && c.usage(bucket).served+cost/2 > s.fairShare
 }
 
 // allowedSpare returns the fraction of the spare capacity that a customer above its
@@ -72,7 +96,7 @@
 	if s.leastServed <= 0 {
 		return 1
 	}
-	servedRatio := c.served.sum(s.bucket(now)) / s.leastServed
+	servedRatio := c.usage(s.bucket(now)).served / s.leastServed
 	return max(1-ramp(servedRatio, spareRatioFrom, spareRatioTo), idleSpareFraction*(1-ramp(servedRatio, spareRatioTo, idleSpareRatioTo)))
 }
 
@@ -92,12 +116,12 @@
 func (s *shares) updateLeastServed(bucket int64) {
 	s.leastServed = 0
 	for _, c := range s.customers {
-		demand, served := c.demand.sum(bucket), c.served.sum(bucket)
-		if demand <= s.fairShare || served >= backloggedBelow*demand {
+		u := c.usage(bucket)
+		if u.demand <= s.fairShare || u.served >= backloggedBelow*u.demand {
 			continue
 		}
-		if s.leastServed == 0 || served < s.leastServed {
-			s.leastServed = max(s.fairShare, served)
+		if s.leastServed == 0 || u.served < s.leastServed {
+			s.leastServed = max(s.fairShare, u.served)
 		}
 	}
 }
@@ -112,7 +136,7 @@
 	s.demands = s.demands[:0]
 	total := 0.0
 	for _, c := range s.customers {
-		if d := c.demand.sum(bucket); d > 0 {
+		if d := c.usage(bucket).demand; d > 0 {
 			s.demands = append(s.demands, d)
 			total += d
 		}
--- a/placement/summary.go
+++ b/placement/summary.go
@@ -22,8 +22,8 @@
 	N, X, Y, XX, XY float64
 }
 
-// CustomerUsage is a customer's demand and served cost at a router. Both are counters since
-// the router's start.
+// CustomerUsage is a customer's demand and served cost at a router or in a zone, over the sliding
+// window.
 type CustomerUsage struct {
 	_              struct{} `cbor:",toarray"`
 	Customer       string
@@ -31,7 +31,7 @@
 }
 
 // Summary is a router's report on itself, or on all routers of its zone, to other
-// routers. It holds counters instead of differences, so the next summary compensates
+// routers. It holds states and counters instead of differences, so the next summary compensates
 // for a lost one and a duplicate has no effect.
 type Summary struct {
 	_                   struct{} `cbor:",toarray"`
@@ -62,15 +62,12 @@
 	Count  int
 }
 
-// peerState holds the counters of another router's last summary.
+// peerState is what another router's last summary told, without the usage of customers.
 type peerState struct {
 	zone        string
 	zoneRouters int // number of routers that the summary covers; 0 if it covers one router
 	incarnation uint64
-	reportedAt  time.Time         // when the last summary came
 	sentTokens  map[string]uint64 // by server ID
-	demand      map[string]uint64 // by customer
-	served      map[string]uint64 // by customer
 }
 
 // FillSummary adds this router's loads, fits and customer usage to a summary.
@@ -83,11 +80,7 @@
 		}
 	}
 	p.addFits(m)
-	for name, c := range p.shares.customers {
-		if c.demandCounter > 0 {
-			m.Usage = append(m.Usage, CustomerUsage{Customer: name, Demand: c.demandCounter, Served: c.servedCounter})
-		}
-	}
+	p.shares.fillUsage(now, m)
 }
 
 // FillZoneSummary adds the loads, fits and customer usage of this router and, from
@@ -123,11 +116,7 @@
 		}
 		m.addFit(name, f)
 	}
-	for name, c := range p.shares.customers {
-		if demand := c.demandCounter + c.zoneDemand; demand > 0 {
-			m.Usage = append(m.Usage, CustomerUsage{Customer: name, Demand: demand, Served: c.servedCounter + c.zoneServed})
-		}
-	}
+	p.shares.fillZoneUsage(now, p.zone, m)
 }
 
 // addFits adds this router's fits to a summary.
@@ -161,20 +150,18 @@
 	return s.running > 0 || s.failures > 0 || now.Sub(s.sentAt) < reportTime
 }
 
-// ApplySummary replaces a router's loads and fits by those of a summary, and adds the
-// increase of its counters to the customers' demand and served cost.
+// ApplySummary replaces a router's loads, fits and usage of customers by those of a summary.
 func (p *Placement) ApplySummary(now time.Time, m *Summary) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	peer := p.peers[m.Router]
 	if peer == nil || peer.incarnation != m.Incarnation {
-		peer = &peerState{zone: m.Zone, zoneRouters: m.ZoneRouters, incarnation: m.Incarnation, sentTokens: map[string]uint64{}, demand: map[string]uint64{}, served: map[string]uint64{}}
+		peer = &peerState{zone: m.Zone, zoneRouters: m.ZoneRouters, incarnation: m.Incarnation, sentTokens: map[string]uint64{}}
 		p.peers[m.Router] = peer
 		for _, s := range p.servers {
 			s.removeRemoteLoad(m.Router)
 		}
 	}
-	peer.reportedAt = now
 	for id := range peer.sentTokens {
 		if s := p.servers[id]; s != nil {
 			s.removeRemoteLoad(m.Router)
@@ -184,18 +171,7 @@
 		p.applyLoad(now, peer, m.Router, l)
 	}
 	p.applyFits(m)
-	bucket := p.shares.bucket(now)
-	sameZone := m.Zone == p.zone
-	for _, s := range m.Usage {
-		c := p.shares.customer(s.Customer)
-		demand, served := counterIncrease(peer.demand, s.Customer, s.Demand), counterIncrease(peer.served, s.Customer, s.Served)
-		c.demand.add(bucket, demand)
-		c.served.add(bucket, served)
-		if sameZone {
-			c.zoneDemand += uint64(demand)
-			c.zoneServed += uint64(served)
-		}
-	}
+	p.shares.applyReport(now, m)
 }
 
 // applyLoad applies the load of one backend server from another router's summary.
@@ -227,8 +203,9 @@
 	return float64(value - old)
 }
 
-// ForgetRouter removes what a sender of summaries reported, because its summaries have
-// stopped. If they start again, only increases of its counters from then on count.
+// ForgetRouter removes the loads and fits that a sender of summaries reported, because its summaries have
+// stopped. If they start again, only increases of its counters from then on count. The usage of
+// customers that it reported fades.
 func (p *Placement) ForgetRouter(router string) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
