Bytes without end from a backend server end the exchange at a bound

What could be seen: a backend server in trouble that sends header lines, a body or an event without end filled the router's memory until the request's deadline; at 109 MiB a request, one of them ends a VM of 112 MB. Cause: the head of a response was read without a limit, each plain body up to 16 MiB whatever else was held, and an incomplete event was kept and searched anew with each read. Change: a head ends at 64 KiB, an event at 256 KiB; bodies over 64 KiB share an eighth of the VM's memory. TestEndlessHeadIsCutOff failed before (109 MiB taken), TestEndlessEventIsCutOff failed before (ended by the deadline after 3 s); TestEndlessBodiesShareOneBudget needs the new option.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -54,6 +54,7 @@
 	backgroundStopTimeout    = 500 * time.Millisecond // for the other parts to end once all callers are served
 	usedLimitFraction        = 0.85                   // of each fleet limit that routers use, since requests may be delayed on their way
 	callerConnFraction       = 0.6                    // of the file descriptors that callers' connections may use
+	bufferedBodyFraction     = 0.125                  // of the process's memory that long responses of backend servers may use
 	memoryLimitFraction      = 0.6                    // of the process's memory, as the soft limit of the Go runtime
 )
 
@@ -119,7 +120,9 @@
 func (g *Gateway) initParts() error {
 	s := g.settings
 	g.placer = placement.New(placement.Options{Zone: s.Zone, Limits: g.fleetLimits(s), Routers: s.SpareRouters + 1, Now: time.Now()})
-	g.upstream = upstream.NewPool(upstream.DefaultOptions, s.IP)
+	connOptions := upstream.DefaultOptions
+	connOptions.MaxBufferedBytes = int64(bufferedBodyFraction * float64(s.MemoryLimitMB) * (1 << 20))
+	g.upstream = upstream.NewPool(connOptions, s.IP)
 	g.operatorRows = &operatorTable{currentConfig: g.currentConfig, placer: g.placer, logger: g.logger, outOfService: map[string]bool{}}
 	g.followers.operator = g.newFollower(platform.OperatorTable, g.operatorRows, g.configPollWait)
 	g.serverRows = &serverTable{placer: g.placer, storeFailed: g.storeFailedRecently, logger: g.logger, keptUntil: map[string]time.Time{}}
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -295,6 +295,25 @@
 	}
 }
 
+// An event without end was kept in memory until the request's deadline.
+func TestEndlessEventIsCutOff(t *testing.T) {
+	s := newTestbed(t, platformtest.Service("models", "stream", 1, map[string]any{
+		"engine": map[string]any{"slots": 8, "kv_capacity": 444000, "moves": true},
+	}))
+	b := s.startServer("i-1", "models", 12)
+	s.waitReady()
+	b.QueueBehaviours(platformtest.EndlessEvent)
+	if a := s.send("POST", "/models/x", "prompt"); a.err == nil {
+		t.Errorf("got a complete response of %d bytes, want an error while reading it", len(a.body))
+	}
+	if !eventually(time.Second, func() bool { return b.Interrupted() == 1 }) {
+		t.Error("the router did not close the connection of an event without end")
+	}
+	if got := s.logs.String(); !strings.Contains(got, `"cause":"broken"`) {
+		t.Errorf("got no end as a broken response, want one before the deadline; log:\n%s", got)
+	}
+}
+
 func TestCallerDisconnectCancelsRequest(t *testing.T) {
 	s := newTestbed(t, deskService)
 	b := s.startServer("i-1", "desk", 0)
--- a/ingress/stream.go
+++ b/ingress/stream.go
@@ -37,6 +37,12 @@
 	return s
 }
 
+// maxEventBytes is the length of the longest event of a stream that is kept until it is complete.
+const maxEventBytes = 256 << 10
+
+// errEventTooLong is the error of a stream with a longer event.
+var errEventTooLong = errors.New("an event of the stream is longer than allowed")
+
 // streamReadBytes is the size of the buffer for reads from a stream.
 const streamReadBytes = 4 << 10
 
@@ -62,6 +68,9 @@
 				return false, &result{status: 502, cause: causeLeft}
 			}
 		}
+		if len(s.partial) > maxEventBytes {
+			err = errEventTooLong
+		}
 		switch {
 		case errors.Is(err, io.EOF):
 			return x.finishStream(g, ex)
@@ -158,6 +167,9 @@
 				return true, &result{status: 502, cause: causeLeft}
 			}
 		}
+		if len(s.partial) > maxEventBytes {
+			err = errEventTooLong
+		}
 		switch {
 		case errors.Is(err, io.EOF) && len(s.partial) == 0:
 			_, v := x.finishStream(g, ex)
--- /dev/null
+++ b/upstream/endless_test.go
@@ -0,0 +1,115 @@
+package upstream_test
+
+// This file tests servers that send without end.
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"bulrushtally/upstream"
+)
+
+// startEndlessServer starts a backend server that answers each request with start and then with line, again and
+// again, until the connection is closed or most bytes were sent. The function sent returns how many bytes were.
+func startEndlessServer(t *testing.T, start, line string, most int64) (address string, sent func() int64) {
+	t.Helper()
+	ln, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { ln.Close() })
+	var total atomic.Int64
+	block := strings.Repeat(line, 1+(64<<10)/len(line))
+	go func() {
+		for {
+			c, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer c.Close()
+				if _, err := http.ReadRequest(bufio.NewReader(c)); err != nil {
+					return
+				}
+				fmt.Fprint(c, start)
+				for n, err := 0, error(nil); err == nil && total.Load() < most; {
+					n, err = io.WriteString(c, block)
+					total.Add(int64(n))
+				}
+			}()
+		}
+	}()
+	return ln.Addr().String(), total.Load
+}
+
+// A head without end was read into memory until the request's deadline.
+func TestEndlessHeadIsCutOff(t *testing.T) {
+	for name, start := range map[string]string{
+		"header lines":   "HTTP/1.1 200 OK\r\n",
+		"interim answer": "HTTP/1.1 102 Processing\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			address, sent := startEndlessServer(t, start, "X-Noise: 0123456789012345678901234567890123456789\r\n", 200<<20)
+			p := upstream.NewPool(upstream.DefaultOptions, "")
+			defer p.Close()
+			_, err := send(p, address, "r")
+			var broken *upstream.ResponseError
+			if !errors.As(err, &broken) {
+				t.Errorf("got %v, want a ResponseError", err)
+			}
+			const most = 8 << 20 // the limit and what the sockets hold
+			if got := sent(); got > most {
+				t.Errorf("got %d MiB taken of an endless head, want at most %d MiB", got>>20, most>>20)
+			}
+		})
+	}
+}
+
+// Each of many endless bodies was read up to 16 MiB, more than a small VM has.
+func TestEndlessBodiesShareOneBudget(t *testing.T) {
+	address, _ := startEndlessServer(t, "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n", "no answer ", 1<<40)
+	const budget = 8 << 20
+	o := upstream.DefaultOptions
+	o.MaxBufferedBytes = budget
+	p := upstream.NewPool(o, "")
+	defer p.Close()
+	var running sync.WaitGroup
+	var longest atomic.Int64
+	for i := range 20 {
+		running.Go(func() {
+			ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+			defer cancel()
+			x, err := p.Send(ctx, address, newRequest(fmt.Sprint("r", i)))
+			if err != nil {
+				t.Errorf("got %v, want the head of a response", err)
+				return
+			}
+			defer x.Close()
+			_, err = x.ReadAll()
+			var broken *upstream.ResponseError
+			if !errors.As(err, &broken) {
+				t.Errorf("got %v, want a ResponseError", err)
+			}
+			for used, seen := p.BufferedBytes(), longest.Load(); used > seen && !longest.CompareAndSwap(seen, used); {
+				seen = longest.Load()
+			}
+		})
+	}
+	running.Wait()
+	if got := longest.Load(); got > budget {
+		t.Errorf("got %d bytes of responses held at once, want at most %d", got, budget)
+	}
+	if got := p.BufferedBytes(); got != 0 {
+		t.Errorf("got %d bytes held after all exchanges ended, want 0", got)
+	}
+}
--- a/upstream/exchange.go
+++ b/upstream/exchange.go
@@ -57,9 +57,11 @@
 func (e *ResponseError) Unwrap() error { return e.Err }
 
 var (
-	errNoResponse  = errors.New("received only interim responses or responses to other requests")
-	errBodyTooLong = errors.New("response body is longer than allowed")
-	errNotHTTP1    = errors.New("response is not HTTP/1")
+	errNoResponse      = errors.New("received only interim responses or responses to other requests")
+	errHeadTooLong     = errors.New("response head is longer than allowed")
+	errBodyTooLong     = errors.New("response body is longer than allowed")
+	errTooMuchBuffered = errors.New("response bodies that are read at the same time are longer than allowed")
+	errNotHTTP1        = errors.New("response is not HTTP/1")
 )
 
 // MaxInlineBodyBytes is the length of the longest request body that is written together
@@ -70,7 +72,9 @@
 // Limits of what is read from a backend server.
 const (
 	maxSkippedResponses  = 2 // interim (1xx) responses and responses to other requests that are skipped before the response
+	maxResponseHeadBytes = 64 << 10
 	maxResponseBodyBytes = 16 << 20
+	smallBodyBytes       = 64 << 10 // up to this capacity, the buffer of a body is not counted in Options.MaxBufferedBytes
 )
 
 // Exchange is a request that was sent and the response to it. It must be closed.
@@ -83,6 +87,7 @@
 	requestWritten bool        // head and short body were written; stays false for a long body
 	complete       bool        // the response body was read to its end
 	reused         bool        // the connection carried an earlier request
+	buffered       int64       // bytes of the body's buffer that are counted in Pool.buffered
 	closed         atomic.Bool
 }
 
@@ -126,9 +131,12 @@
 }
 
 // readHead reads the head of the response. It skips interim responses and late
-// responses to earlier requests, and fails if there are more than maxSkippedResponses.
+// responses to earlier requests, and fails if there are more than maxSkippedResponses, or if a
+// head is longer than maxResponseHeadBytes.
 func (x *Exchange) readHead(r *Request) error {
+	defer x.conn.limitReads(noReadLimit)
 	for range maxSkippedResponses + 1 {
+		x.conn.limitReads(maxResponseHeadBytes)
 		resp, err := http.ReadResponse(x.conn.reader, &http.Request{Method: r.Method})
 		if err != nil {
 			return err
@@ -141,6 +149,7 @@
 		}
 		id := resp.Header.Get(r.IDHeader)
 		if id != "" && id != r.ID {
+			x.conn.limitReads(noReadLimit)
 			if _, err := io.CopyN(io.Discard, resp.Body, maxResponseBodyBytes); !errors.Is(err, io.EOF) {
 				return errNoResponse
 			}
@@ -176,17 +185,20 @@
 }
 
 // ReadAll returns the complete response body. It returns a *ResponseError if the body
-// cannot be read to its end or is too long.
+// cannot be read to its end, is too long, or does not fit beside the others of the pool.
 func (x *Exchange) ReadAll() ([]byte, error) {
-	var b []byte
+	capacity := int64(1024)
 	if n := x.response.ContentLength; n > 0 && n < maxResponseBodyBytes {
-		b = make([]byte, 0, n+1)
-	} else {
-		b = make([]byte, 0, 1024)
+		capacity = n + 1
 	}
+	var b []byte
 	for {
 		if len(b) == cap(b) {
-			b = append(b, 0)[:len(b)]
+			grown, err := x.grow(b, max(capacity, 2*int64(cap(b))))
+			if err != nil {
+				return nil, err
+			}
+			b = grown
 		}
 		n, err := x.Read(b[len(b):cap(b)])
 		b = b[:len(b)+n]
@@ -201,6 +213,19 @@
 	}
 }
 
+// grow returns a body buffer of the given capacity with the contents of b, and counts it in
+// Pool.buffered until the exchange is closed. It returns a *ResponseError if that exceeds
+// Options.MaxBufferedBytes.
+func (x *Exchange) grow(b []byte, capacity int64) ([]byte, error) {
+	if added := capacity - x.buffered; capacity > smallBodyBytes {
+		if !x.pool.reserve(added) {
+			return nil, &ResponseError{x.conn.address, errTooMuchBuffered}
+		}
+		x.buffered = capacity
+	}
+	return append(make([]byte, 0, capacity), b...), nil
+}
+
 // Close ends the exchange. It keeps the connection for reuse if the response was read
 // completely and no further bytes were received. Otherwise it closes the connection,
 // which cancels the request.
@@ -208,6 +233,7 @@
 	if x.closed.Swap(true) {
 		return
 	}
+	x.pool.buffered.Add(-x.buffered)
 	contextLive := x.unwatch == nil || x.unwatch()
 	if !contextLive || !x.reusable() {
 		x.conn.abort()
--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -8,6 +8,7 @@
 	"errors"
 	"net"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -21,6 +22,7 @@
 	NonRepeatableMaxIdle   time.Duration // longest idle time of a connection that is reused for a non-repeatable request
 	IdleTimeout            time.Duration // a connection is closed after this idle time
 	MaxIdleConnsPerAddress int
+	MaxBufferedBytes       int64 // of long response bodies that are held at the same time; 0 if there is no limit
 }
 
 // DefaultOptions suit backend servers in the same region.
@@ -41,8 +43,9 @@
 
 // Pool dials connections and keeps idle ones for reuse. It is safe for concurrent use.
 type Pool struct {
-	options Options
-	dialer  net.Dialer
+	options  Options
+	dialer   net.Dialer
+	buffered atomic.Int64 // capacity of the buffers of long response bodies
 
 	mu     sync.Mutex
 	idle   map[string][]*conn // by address, the last one returned to the pool at the end
@@ -83,9 +86,29 @@
 	idleSince   time.Time
 	idleTimeout time.Duration // of the pool, or shorter if the server announced that
 	exchanges   int           // number of completed exchanges
+	readLimit   int           // bytes that may still be read, or noReadLimit
 	closeOnce   sync.Once
 }
 
+// noReadLimit is a conn.readLimit without a limit.
+const noReadLimit = -1
+
+// limitReads lets at most n more bytes be read from the connection, beyond those in its buffer.
+func (c *conn) limitReads(n int) { c.readLimit = n }
+
+// Read reads from the connection for the buffer. It returns errHeadTooLong at the limit.
+func (c *conn) Read(b []byte) (int, error) {
+	if c.readLimit == noReadLimit {
+		return c.Conn.Read(b)
+	}
+	if c.readLimit == 0 {
+		return 0, errHeadTooLong
+	}
+	n, err := c.Conn.Read(b[:min(len(b), c.readLimit)])
+	c.readLimit -= n
+	return n, err
+}
+
 // abort closes the connection, which ends blocked reads and writes.
 func (c *conn) abort() { c.closeOnce.Do(func() { c.Conn.Close() }) }
 
@@ -149,7 +172,9 @@
 	p.mu.Lock()
 	p.dialed++
 	p.mu.Unlock()
-	return &conn{Conn: netConn, address: address, reader: bufio.NewReaderSize(netConn, readBufferBytes), idleTimeout: p.options.IdleTimeout}, nil
+	c := &conn{Conn: netConn, address: address, readLimit: noReadLimit, idleTimeout: p.options.IdleTimeout}
+	c.reader = bufio.NewReaderSize(c, readBufferBytes)
+	return c, nil
 }
 
 // putIdle keeps a connection for a later request, or closes it if enough are kept.
@@ -204,6 +229,23 @@
 	}
 }
 
+// reserve counts bytes of a body's buffer, unless that exceeds Options.MaxBufferedBytes.
+func (p *Pool) reserve(bytes int64) bool {
+	limit := p.options.MaxBufferedBytes
+	for {
+		used := p.buffered.Load()
+		if limit > 0 && used+bytes > limit {
+			return false
+		}
+		if p.buffered.CompareAndSwap(used, used+bytes) {
+			return true
+		}
+	}
+}
+
+// BufferedBytes returns the capacity of the buffers that long response bodies hold now.
+func (p *Pool) BufferedBytes() int64 { return p.buffered.Load() }
+
 // Counts returns how many connections were dialed and how often an idle one was reused.
 // Nothing calls it.
 func (p *Pool) Counts() (dials, reuses int) {
