What a customer got beside its share is not held against it once others want it

Cause: the share of the last 4 s was compared with all that the customer was served in them. When demand rises over the capacity, use from the time when there was enough for everybody counts as use of the share, so the customer gets nothing until the window has moved on. Change: only what was granted within the share, while there is one, counts against it. Spare capacity is still given by all that was served. TestUseBeforeContentionDoesNotUseUpTheShare failed before (80,200 of 600,000) and passes.

--- a/ingress/log.go
+++ b/ingress/log.go
@@ -57,7 +57,7 @@
 		e = e.Int("unusable", s.Unusable).Int("reserved", s.Reserved).Int("full", s.Full).Int("busy", s.Busy).Dur("best_expected_first_event_ms", s.ShortestFirstEvent)
 	}
 	if s := v.share; cause == string(placement.OverShare) {
-		e = e.Int("share_tokens", int(s.FairShare)).Int("served_tokens", int(s.Served)).Int("least_served_tokens", int(s.LeastServed)).Float64("idle_spare_fraction", s.IdleSpareFraction).Int("zones_reporting", s.Zones).Dur("oldest_zone_report_ms", s.OldestZoneReport)
+		e = e.Int("share_tokens", int(s.FairShare)).Int("within_share_tokens", int(s.WithinShare)).Int("served_tokens", int(s.Served)).Int("least_served_tokens", int(s.LeastServed)).Float64("idle_spare_fraction", s.IdleSpareFraction).Int("zones_reporting", s.Zones).Dur("oldest_zone_report_ms", s.OldestZoneReport)
 	}
 	if v.retryAfter > 0 {
 		e = e.Dur("retry_after_ms", v.retryAfter)
--- a/placement/grant.go
+++ b/placement/grant.go
@@ -37,6 +37,7 @@
 	firstEventSeen     bool
 	late               bool // an objective of the stream was missed
 	migrated           bool // prefill ran on another server
+	withinShare        bool // the request uses the customer's fair share
 	ended              bool // End or EndUnsent was called
 }
 
@@ -167,7 +168,7 @@
 	if g.request.PromptTokens == 0 || g.migrated {
 		return
 	}
-	g.customer.served.add(g.placement.shares.bucket(now), -g.request.cost())
+	g.customer.addServed(g.placement.shares.bucket(now), -g.request.cost(), g.withinShare)
 	s := g.server
 	s.busyUntil = s.busyUntil.Add(-s.prefillTime(g.prefillCost))
 }
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -79,6 +79,7 @@
 type ShareState struct {
 	FairShare         float64 // max-min fair share of a backlogged customer; 0 if capacity exceeds demand
 	Served            float64 // cost of the customer's requests that were sent to servers
+	WithinShare       float64 // cost of those of them that used its fair share
 	LeastServed       float64 // served cost of the least-served backlogged customer, and at least the fair share; 0 if no customer is backlogged
 	IdleSpareFraction float64 // fraction of the spare capacity that customers far above their fair share may use too, because servers are idle
 
@@ -372,7 +373,8 @@
 		s.pendingCost += c.prefillCost
 		s.sentTokens += uint64(c.prefillCost)
 		s.segments.recordUse(req.Segments)
-		w.customer.served.add(p.shares.bucket(now), req.cost())
+		g.withinShare = p.shares.fairShare > 0 && !w.overShare
+		w.customer.addServed(p.shares.bucket(now), req.cost(), g.withinShare)
 	}
 	return g
 }
--- a/placement/placement_test.go
+++ b/placement/placement_test.go
@@ -515,3 +515,43 @@
 		}
 	}
 }
+
+// What a customer got while nobody else wanted it was held against its share for the next 4 s, in which it got nothing.
+func TestUseBeforeContentionDoesNotUseUpTheShare(t *testing.T) {
+	p := newPlacement(modelServices(false), 1, 1)
+	send := func(customer string, prompt, output int) *placement.Refusal {
+		req := newRequest(customer, prompt)
+		req.OutputTokens = output
+		g, r := admitWithoutWaiting(p, req)
+		if g != nil {
+			g.RecordFirstEvent(time.Now())
+			g.End(time.Now(), placement.Done)
+		}
+		return r
+	}
+	for range 22 {
+		if r := send("early", 10, 20000); r != nil {
+			t.Fatalf("got %v before the contention, want a server", r)
+		}
+	}
+	for range 300 {
+		p.RecordArrival(time.Now(), newRequest("late", 12000))
+	}
+	time.Sleep(260 * time.Millisecond)           // the share is computed each 250 ms
+	if r := send("late", 15000, 200); r != nil { // half of an event gap, which leaves no spare capacity
+		t.Fatalf("got %v for the other customer, want a server", r)
+	}
+	const share = 300000 * 4 / 2 // fair share of each of two customers: tokens per window of 4 s
+	served := 0
+	for ; served <= share; served += 100 + 2*20000 {
+		if r := send("early", 100, 20000); r != nil {
+			break
+		}
+	}
+	if served < share*9/10 {
+		t.Errorf("got %d tokens served to a customer since the contention began, want about its share, %d", served, share)
+	}
+	if served > share*11/10 {
+		t.Errorf("got %d tokens served to a customer since the contention began, want at most its share, %d", served, share)
+	}
+}
--- a/placement/queue.go
+++ b/placement/queue.go
@@ -53,10 +53,14 @@
 // refusal returns the Refusal of a request that got no server.
 func (p *Placement) refusal(now time.Time, pl *pool, w *waiter) *Refusal {
 	s := p.shares
+	u := w.customer.usage(s.bucket(now))
 	zones, oldest := s.zoneReports(now)
 	return &Refusal{
 		Reason: w.reason(), RetryAfter: p.retryAfter(w.request, w.overShare), Rejections: w.rejections,
-		Share: ShareState{FairShare: s.fairShare, Served: w.customer.usage(s.bucket(now)).served, LeastServed: s.leastServed, IdleSpareFraction: pl.idleSpareFraction, Zones: zones, OldestZoneReport: oldest},
+		Share: ShareState{
+			FairShare: s.fairShare, Served: u.served, WithinShare: u.withinShare, LeastServed: s.leastServed,
+			IdleSpareFraction: pl.idleSpareFraction, Zones: zones, OldestZoneReport: oldest,
+		},
 	}
 }
 
--- a/placement/share.go
+++ b/placement/share.go
@@ -8,23 +8,25 @@
 	"time"
 )
 
-// usage is one customer's cost over the sliding window: of the requests that arrived (demand) and of
-// those that were sent to backend servers (served).
+// usage is one customer's cost over the sliding window: of the requests that arrived (demand), of
+// those that were sent to backend servers (served), and of those of them that used its fair share
+// (withinShare). The others used spare capacity, or ran when nobody had to wait.
 type usage struct {
-	demand, served float64
+	demand, served, withinShare float64
 }
 
 // addScaled adds a fraction of v.
 func (u *usage) addScaled(v usage, fraction float64) {
 	u.demand += fraction * v.demand
 	u.served += fraction * v.served
+	u.withinShare += fraction * v.withinShare
 }
 
 // customer is one customer, with its usage at this router and elsewhere.
 type customer struct {
-	name           string
-	demand, served slidingSum // at this router
-	remote         usage      // at the other routers and zones, by their reports
+	name                        string
+	demand, served, withinShare slidingSum // at this router; see usage
+	remote                      usage      // at the other routers and zones, by their reports
 }
 
 // usage returns the customer's usage in the window that ends with a bucket, over all routers.
@@ -36,7 +38,15 @@
 
 // local returns the customer's usage at this router.
 func (c *customer) local(bucket int64) usage {
-	return usage{demand: c.demand.sum(bucket), served: c.served.sum(bucket)}
+	return usage{demand: c.demand.sum(bucket), served: c.served.sum(bucket), withinShare: c.withinShare.sum(bucket)}
+}
+
+// addServed adds the cost of a request that was sent to a server, or subtracts it if it did not run.
+func (c *customer) addServed(bucket int64, cost float64, withinShare bool) {
+	c.served.add(bucket, cost)
+	if withinShare {
+		c.withinShare.add(bucket, cost)
+	}
 }
 
 // shares holds the usage of all customers and the fair share that is computed from it. A customer is
@@ -76,15 +86,16 @@
 }
 
 // exceedsShare reports whether a request of the given cost takes a customer above its
-// fair share of the window. Half of the cost is
-// counted, so a request is within the share if at least half of its cost is.
+// fair share of the window. Half of the cost is counted, so a request is within the share if
+// at least half of its cost is. What the customer got beside its share does not count: otherwise
+// a customer that took what nobody wanted would get nothing for a window once others want it.
 func (s *shares) exceedsShare(now time.Time, c *customer, cost float64) bool {
 	bucket := s.bucket(now)
 	if bucket != s.refreshedBucket {
 		s.ageReports(now)
 		s.refresh(bucket)
 	}
-	return s.fairShare > 0 && c.usage(bucket).served+cost/2 > s.fairShare
+	return s.fairShare > 0 && c.usage(bucket).withinShare+cost/2 > s.fairShare
 }
 
 // allowedSpare returns the fraction of the spare capacity that a customer above its
--- a/placement/summary.go
+++ b/placement/summary.go
@@ -22,12 +22,12 @@
 	N, X, Y, XX, XY float64
 }
 
-// CustomerUsage is a customer's demand and served cost at a router or in a zone, over the sliding
-// window.
+// CustomerUsage is a customer's usage at a router or in a zone, over the sliding window.
 type CustomerUsage struct {
 	_              struct{} `cbor:",toarray"`
 	Customer       string
-	Demand, Served uint64
+	Demand, Served uint64 // cost of the requests that arrived, and of those that were sent to backend servers
+	WithinShare    uint64 // cost of those of the latter that used the customer's fair share
 }
 
 // Summary is a router's report on itself, or on all routers of its zone, to other
--- a/placement/usagereport.go
+++ b/placement/usagereport.go
@@ -41,7 +41,7 @@
 	}
 	r := &usageReport{zone: m.Zone, ofZone: m.ZoneRouters > 0, receivedAt: now, weight: 1, entries: make([]reportEntry, 0, len(m.Usage))}
 	for _, u := range m.Usage {
-		r.entries = append(r.entries, reportEntry{s.customer(u.Customer), usage{demand: float64(u.Demand), served: float64(u.Served)}})
+		r.entries = append(r.entries, reportEntry{s.customer(u.Customer), usage{float64(u.Demand), float64(u.Served), float64(u.WithinShare)}})
 	}
 	s.reports[m.Router] = r
 	r.apply(1)
@@ -108,6 +108,6 @@
 // addUsage adds the usage of a customer to the summary if it has any.
 func (m *Summary) addUsage(customer string, u usage) {
 	if u != (usage{}) {
-		m.Usage = append(m.Usage, CustomerUsage{Customer: customer, Demand: uint64(u.demand), Served: uint64(u.served)})
+		m.Usage = append(m.Usage, CustomerUsage{Customer: customer, Demand: uint64(u.demand), Served: uint64(u.served), WithinShare: uint64(u.withinShare)})
 	}
 }
