faultmatrix: a crash stays armed until the cell is disarmed, and no call of it is left then

Change: what is armed for each time is never taken away by firing, and disarming waits for the calls that have begun.

--- a/faultmatrix/change_test.go
+++ b/faultmatrix/change_test.go
@@ -78,7 +78,7 @@
 	}
 	var mu sync.Mutex
 	reached := false
-	h.arm(c.step, func() {
+	h.arm(c.step, true, func() {
 		mu.Lock()
 		reached = true
 		mu.Unlock()
@@ -92,7 +92,7 @@
 	if accepted != nil {
 		routers[1].receive(accepted)
 	}
-	h.arm("", nil)
+	h.disarm()
 	h.table.setFaults(tableFaults{})
 	h.checkLog(c, accepted, err)
 	for _, r := range routers {
--- a/faultmatrix/harness_test.go
+++ b/faultmatrix/harness_test.go
@@ -45,30 +45,48 @@
 
 	mu          sync.Mutex
 	armedStep   step
+	armedOnce   bool // the armed function is called once
 	onArmedStep func()
+	firing      int // calls of armed functions that have not returned
+	fired       *sync.Cond
 }
 
-// reached calls the armed function if s is the armed step, and disarms it.
+// reached calls the armed function if s is the armed step, and disarms it if it is armed once.
 func (h *harness) reached(s step) {
 	h.mu.Lock()
 	injectFault := h.onArmedStep
-	if h.armedStep != s {
-		injectFault = nil
+	if injectFault == nil || h.armedStep != s {
+		h.mu.Unlock()
+		return
 	}
-	if injectFault != nil {
+	if h.armedOnce {
 		h.onArmedStep = nil
 	}
+	h.firing++
+	h.mu.Unlock()
+	injectFault()
+	h.mu.Lock()
+	h.firing--
+	h.fired.Broadcast()
 	h.mu.Unlock()
-	if injectFault != nil {
-		injectFault()
-	}
 }
 
-// arm has f called once, when step s is reached next. It replaces an earlier armed function.
-func (h *harness) arm(s step, f func()) {
+// arm has f called when step s is reached next, or each time unless once is set. It replaces an earlier
+// armed function.
+func (h *harness) arm(s step, once bool, f func()) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.armedStep, h.onArmedStep = s, f
+	h.armedStep, h.armedOnce, h.onArmedStep = s, once, f
+}
+
+// disarm has no function called from then on, and waits for the calls that have begun.
+func (h *harness) disarm() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.onArmedStep = nil
+	for h.firing > 0 {
+		h.fired.Wait()
+	}
 }
 
 var modelServerOptions = standin.ModelServerOptions{
@@ -81,6 +99,7 @@
 // newHarness starts the backend servers, the leaders and the entry router.
 func newHarness(t *testing.T) *harness {
 	h := &harness{t: t, table: newFakeTable(), store: config.NewStore(), tracker: &tracker{quarantine: schedule.NewQuarantine()}}
+	h.fired = sync.NewCond(&h.mu)
 	h.ctx, h.stop = context.WithCancel(context.Background())
 	h.log = ledger.NewLog(h.table, h.table)
 	h.table.reached = h.reached
--- a/faultmatrix/request_test.go
+++ b/faultmatrix/request_test.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -116,7 +117,7 @@
 			waitFor(fired) // leaders poll load reports periodically, not for each request
 		}
 		reached = fired() || reached
-		h.arm("", nil)
+		h.disarm()
 		h.table.setFaults(tableFaults{})
 		h.links.restore()
 		h.checkRecovery(c, client, kind)
@@ -144,22 +145,18 @@
 func (h *harness) armFaults(c cell) (fired func() bool) {
 	var mu sync.Mutex
 	done := false
-	var fire func()
-	fire = func() {
+	fire := func() {
 		mu.Lock()
 		first := !done
 		done = true
 		mu.Unlock()
 		for _, f := range c.faults {
-			if f == faultRequestCrash {
-				h.arm(c.step, fire)
-			}
 			if first || f == faultRequestCrash {
 				h.inject(f)
 			}
 		}
 	}
-	h.arm(c.step, fire)
+	h.arm(c.step, !slices.Contains(c.faults, faultRequestCrash), fire)
 	return func() bool {
 		mu.Lock()
 		defer mu.Unlock()
