Tests of processes take ports that no outgoing connection and no other test gets

Change: package testport gives ports below that range, each with a lock that is held until the test ends. The process tests and the soak use it.

--- a/cmd/bulrushtally/process_test.go
+++ b/cmd/bulrushtally/process_test.go
@@ -6,7 +6,6 @@
 import (
 	"context"
 	"fmt"
-	"net"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -20,6 +19,7 @@
 	"bulrushtally/lab"
 	"bulrushtally/ledger"
 	"bulrushtally/standin"
+	"bulrushtally/testport"
 )
 
 // buildProgram builds the router once for all tests and returns the path of the program.
@@ -48,17 +48,6 @@
 	peerAddresses   []string
 }
 
-// freeAddress returns a loopback address whose port was free at the time of the call.
-func freeAddress(t *testing.T) string {
-	t.Helper()
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer ln.Close()
-	return ln.Addr().String()
-}
-
 // newDeployment starts a deployment and waits until each router serves requests.
 func newDeployment(t *testing.T, routers int) *deployment {
 	t.Helper()
@@ -82,8 +71,8 @@
 	t.Cleanup(d.plainServer.Close)
 	d.writeConfig()
 	for range routers {
-		d.callerAddresses = append(d.callerAddresses, freeAddress(t))
-		d.peerAddresses = append(d.peerAddresses, freeAddress(t))
+		d.callerAddresses = append(d.callerAddresses, testport.Address(t))
+		d.peerAddresses = append(d.peerAddresses, testport.Address(t))
 	}
 	for i := range routers {
 		d.routers = append(d.routers, d.startRouter(i))
--- a/gateway/soak_test.go
+++ b/gateway/soak_test.go
@@ -10,7 +10,6 @@
 	"fmt"
 	"io"
 	"math/rand/v2"
-	"net"
 	"net/http"
 	"os"
 	"os/exec"
@@ -22,6 +21,7 @@
 	"time"
 
 	"bulrushtally/platform/platformtest"
+	"bulrushtally/testport"
 )
 
 var (
@@ -39,7 +39,6 @@
 	orderServers []*platformtest.Server
 	routers      []*soakRouter
 	client       *http.Client
-	lastPort     int // last port that freePort tried
 
 	mu        sync.Mutex
 	refused   map[string]bool // IDs of requests that got status 503, which says that they have not run
@@ -61,7 +60,7 @@
 	t.Helper()
 	s := &soak{
 		t: t, rand: rand.New(rand.NewPCG(*soakSeed, 0)), store: platformtest.NewStore(),
-		refused: map[string]bool{}, responses: map[string]int{}, lastPort: firstPort,
+		refused: map[string]bool{}, responses: map[string]int{},
 		client: &http.Client{Timeout: 5 * time.Second, Transport: &http.Transport{DisableCompression: true, DisableKeepAlives: true}},
 	}
 	t.Cleanup(s.store.Close)
@@ -96,34 +95,6 @@
 // zoneOf returns the availability zone of router or backend server i.
 func zoneOf(i int) string { return []string{"zone-a", "zone-b", "zone-c"}[i%3] }
 
-// firstPort is the lower bound of the routers' ports. They lie below the ports that the
-// kernel gives to outgoing connections, which could take a router's port while it is down.
-const firstPort = 20000
-
-// freePort returns the next port of loopback that is free for TCP and UDP.
-func (s *soak) freePort() int {
-	s.t.Helper()
-	for s.lastPort++; s.lastPort < firstPort+10000; s.lastPort++ {
-		address := fmt.Sprintf("127.0.0.1:%d", s.lastPort)
-		ln, err := net.Listen("tcp4", address)
-		if err != nil {
-			continue
-		}
-		ln.Close()
-		c, err := net.ListenPacket("udp4", address)
-		if err != nil {
-			continue
-		}
-		c.Close()
-		return s.lastPort
-	}
-	s.t.Fatal("no free port")
-	return 0
-}
-
-// freeAddress returns a loopback address with a free port.
-func (s *soak) freeAddress() string { return fmt.Sprintf("127.0.0.1:%d", s.freePort()) }
-
 // buildRouter builds the bulrushtally program once for all tests and returns its path.
 var buildRouter = sync.OnceValues(func() (string, error) {
 	dir, err := os.MkdirTemp("", "bulrushtally")
@@ -141,10 +112,10 @@
 // newRouter writes the settings of router i and starts it. The test's cleanup kills it.
 func (s *soak) newRouter(i int) *soakRouter {
 	s.t.Helper()
-	r := &soakRouter{callerAddress: s.freeAddress(), readyAddress: s.freeAddress(), settingsPath: filepath.Join(s.t.TempDir(), "settings.ini")}
+	r := &soakRouter{callerAddress: testport.Address(s.t), readyAddress: testport.Address(s.t), settingsPath: filepath.Join(s.t.TempDir(), "settings.ini")}
 	text := fmt.Sprintf("[vm]\nname = r%02d\nzone = %s\nip = 127.0.0.1\n[callers]\nlisten = %s\nready-listen = %s\n[peers]\nport = %d\n"+
 		"[platform]\naddress = %s\n[bounds]\nrevoke-ms = 5000\ngrace-s = 4\n[log]\nlevel = error\n",
-		i, zoneOf(i), r.callerAddress, r.readyAddress, s.freePort(), s.store.Address())
+		i, zoneOf(i), r.callerAddress, r.readyAddress, testport.Free(s.t), s.store.Address())
 	if err := os.WriteFile(r.settingsPath, []byte(text), 0o600); err != nil {
 		s.t.Fatal(err)
 	}
