A request is not sent once its caller has left by the time a connection is ready

Cause: whether the caller is there was asked before a connection was made; a request on an idle connection was written even if its context had ended, and the continuation of a migrated request was never asked for. On a busy router each step waits. Change: the pool asks just before the write; a request that is not sent leaves its connection to others. A migrated request whose caller has left releases its KV cache instead of going on. TestRequestOfCallerThatLeftIsNotSent fails without the check (both requests are sent) and passes.

--- a/ingress/attempt.go
+++ b/ingress/attempt.go
@@ -21,7 +21,7 @@
 // tried. A nil result means that the final response was forwarded.
 func (x *call) attempt(ctx context.Context, g *placement.Grant) (retry bool, v *result) {
 	x.flow.metrics.attempts.Inc(1)
-	ex, err := x.flow.Upstream.Send(ctx, g.Address(), x.buildRequest(g))
+	ex, err := x.send(ctx, g)
 	if err != nil {
 		return x.attemptError(ctx, g, err)
 	}
@@ -43,6 +43,14 @@
 	return x.forwardResponse(ctx, g, ex)
 }
 
+// send sends the request to the backend server of a grant, unless the caller has left by the time
+// a connection is ready.
+func (x *call) send(ctx context.Context, g *placement.Grant) (*upstream.Exchange, error) {
+	r := x.buildRequest(g)
+	r.Abandoned = x.conn.closedByCaller
+	return x.flow.Upstream.Send(ctx, g.Address(), r)
+}
+
 // declined reports whether the response states that the backend server has not run the request.
 func (x *call) declined(ex *upstream.Exchange) bool {
 	return ex.Header().Get(x.flow.Headers.NotExecuted) != "" || ex.Status() == http.StatusMisdirectedRequest
@@ -53,7 +61,8 @@
 func (x *call) attemptError(ctx context.Context, g *placement.Grant, err error) (retry bool, v *result) {
 	var dial *upstream.DialError
 	var broken *upstream.ResponseError // may wrap a DialError when a migrated request could not continue, though the request has run
-	unsent := !errors.As(err, &broken) && errors.As(err, &dial)
+	abandoned := errors.Is(err, upstream.ErrAbandoned)
+	unsent := abandoned || !errors.As(err, &broken) && errors.As(err, &dial)
 	if !unsent {
 		x.mayHaveRun = true
 	}
@@ -61,6 +70,9 @@
 	case ctx.Err() != nil && unsent:
 		g.EndUnsent(time.Now())
 		return false, x.contextEnded(ctx)
+	case abandoned:
+		g.EndUnsent(time.Now())
+		return false, &result{status: 502, cause: causeLeft}
 	case ctx.Err() != nil:
 		x.endGrant(g, x.contextResult(ctx))
 		return false, x.contextEnded(ctx)
@@ -144,7 +156,7 @@
 		return false, nil
 	}
 	x.placementRequest.Tried = append(x.placementRequest.Tried, g.ID())
-	ex, err := x.flow.Upstream.Send(ctx, g.Address(), x.buildRequest(g))
+	ex, err := x.send(ctx, g)
 	if err != nil {
 		x.attemptError(ctx, g, err)
 		return false, nil
--- a/ingress/flow.go
+++ b/ingress/flow.go
@@ -285,10 +285,6 @@
 		if refusal != nil {
 			return x.refusalResult(ctx, refusal)
 		}
-		if x.conn.closedByCaller() {
-			grant.EndUnsent(time.Now())
-			return &result{status: 502, cause: causeLeft}
-		}
 		x.watchClose()
 		x.placementRequest.Tried = append(x.placementRequest.Tried, grant.ID())
 		x.sentAfter = time.Since(x.arrived)
--- a/ingress/stream.go
+++ b/ingress/stream.go
@@ -124,7 +124,11 @@
 	x.kvSource = m.KVSource
 	defer func() { x.kvSource = "" }()
 	if m.CopiedToTarget {
-		if next, err := x.flow.Upstream.Send(ctx, target.Address(), x.buildRequest(target)); err == nil {
+		next, err := x.send(ctx, target)
+		if errors.Is(err, upstream.ErrAbandoned) {
+			return x.abandonMigrated(ctx, g, target, m)
+		}
+		if err == nil {
 			defer next.Close()
 			if x.accepted(next) {
 				x.endGrant(g, placement.Done)
@@ -134,7 +138,10 @@
 		}
 	}
 	target.EndUnsent(time.Now())
-	next, err := x.flow.Upstream.Send(ctx, g.Address(), x.buildRequest(g))
+	next, err := x.send(ctx, g)
+	if errors.Is(err, upstream.ErrAbandoned) {
+		return x.abandonMigrated(ctx, g, target, m)
+	}
 	if err != nil {
 		// Even if this connection failed, the request has run before.
 		return x.streamError(ctx, g, &upstream.ResponseError{Address: g.Address(), Err: err})
@@ -146,6 +153,18 @@
 	return x.forwardStream(ctx, g, next)
 }
 
+// abandonMigrated ends a request that was stopped for its migration and whose caller has left, or whose
+// deadline has passed.
+func (x *call) abandonMigrated(ctx context.Context, g, target *placement.Grant, m Migration) (retry bool, v *result) {
+	target.EndUnsent(time.Now())
+	x.endGrant(g, placement.Abandoned)
+	go x.flow.Migrator.ReleaseSource(m)
+	if ctx.Err() != nil {
+		return false, x.contextEnded(ctx)
+	}
+	return false, &result{status: 502, cause: causeLeft}
+}
+
 // errMigrationFailed is returned if neither source nor target continues a stopped request.
 var errMigrationFailed = errors.New("the request was stopped to move and no engine goes on with it")
 
--- a/upstream/exchange.go
+++ b/upstream/exchange.go
@@ -25,8 +25,16 @@
 	// The request must not be sent twice. It is not sent on a connection that was idle
 	// for longer than Options.NonRepeatableMaxIdle, as the server may have closed it.
 	NonRepeatable bool
+
+	// Abandoned, if not nil, is called once a connection is ready, just before the request is
+	// written. If it reports true, nobody waits for the response, and the request is not sent.
+	Abandoned func() bool
 }
 
+// ErrAbandoned is the error of a request that was not sent, since its context had ended, or
+// Request.Abandoned reported true, when a connection was ready.
+var ErrAbandoned = errors.New("request was not sent, since nobody waits for its response")
+
 // DialError reports that no connection could be made, so the request has not run.
 type DialError struct {
 	Address string
@@ -93,12 +101,16 @@
 
 // Send sends a request and reads the head of the response. If the context ends before
 // the exchange is closed, the connection is closed, also while the response body is
-// read. The error is a *DialError or a *ResponseError.
+// read. The error is a *DialError, a *ResponseError or ErrAbandoned.
 func (p *Pool) Send(ctx context.Context, address string, r *Request) (*Exchange, error) {
 	c, err := p.get(ctx, address, r.NonRepeatable)
 	if err != nil {
 		return nil, &DialError{address, err}
 	}
+	if ctx.Err() != nil || r.Abandoned != nil && r.Abandoned() {
+		p.putIdle(c)
+		return nil, ErrAbandoned
+	}
 	x := &Exchange{pool: p, conn: c, reused: c.exchanges > 0}
 	x.unwatch = context.AfterFunc(ctx, c.abort)
 	if err := x.send(r); err != nil {
--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -83,7 +83,7 @@
 	net.Conn
 	address     string
 	reader      *bufio.Reader
-	idleSince   time.Time
+	idleSince   time.Time     // when it was made, or last carried a request
 	idleTimeout time.Duration // of the pool, or shorter if the server announced that
 	exchanges   int           // number of completed exchanges
 	readLimit   int           // bytes that may still be read, or noReadLimit
@@ -172,7 +172,7 @@
 	p.mu.Lock()
 	p.dialed++
 	p.mu.Unlock()
-	c := &conn{Conn: netConn, address: address, readLimit: noReadLimit, idleTimeout: p.options.IdleTimeout}
+	c := &conn{Conn: netConn, address: address, readLimit: noReadLimit, idleSince: time.Now(), idleTimeout: p.options.IdleTimeout}
 	c.reader = bufio.NewReaderSize(c, readBufferBytes)
 	return c, nil
 }
--- a/upstream/upstream_test.go
+++ b/upstream/upstream_test.go
@@ -132,3 +132,38 @@
 		t.Errorf("got %v, want a DialError", err)
 	}
 }
+
+// A request was sent on an idle connection although its context had ended, or its caller had left meanwhile.
+func TestRequestOfCallerThatLeftIsNotSent(t *testing.T) {
+	ended, cancel := context.WithCancel(context.Background())
+	cancel()
+	tests := []struct {
+		name      string
+		ctx       context.Context
+		abandoned func() bool
+	}{
+		{"context has ended", ended, nil},
+		{"caller has left", context.Background(), func() bool { return true }},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			address, accepted := startServer(t, validResponse, validResponse)
+			p := upstream.NewPool(upstream.DefaultOptions, "")
+			defer p.Close()
+			if got, err := send(p, address, "r0"); got != "r0" {
+				t.Fatalf("got %q and %v, want r0", got, err)
+			}
+			r := newRequest("left")
+			r.Abandoned = test.abandoned
+			if x, err := p.Send(test.ctx, address, r); !errors.Is(err, upstream.ErrAbandoned) {
+				t.Errorf("got exchange %v and error %v, want ErrAbandoned", x, err)
+			}
+			if got, err := send(p, address, "r1"); got != "r1" {
+				t.Errorf("got %q and %v for the next request, want r1: the server answers one more", got, err)
+			}
+			if got := accepted(); got != 1 {
+				t.Errorf("got %d connections, want 1: a connection whose request was not sent is kept", got)
+			}
+		})
+	}
+}
