--- a/gossip/gossip_test.go
+++ b/gossip/gossip_test.go
@@ -252,3 +252,50 @@
 		t.Errorf("got %d summaries of a part of the zone, want 0", got)
 	}
 }
+
+// While a zone was unreachable, only the two of its routers that were heard last were sent zone summaries; if both
+// had gone, the zones never heard each other again.
+func TestUnreachableZoneIsTriedAtAllItsRouters(t *testing.T) {
+	g, _, _ := startInZone(t, "zone-a", "a1")
+	to, err := net.ResolveUDPAddr("udp4", g.Address())
+	if err != nil {
+		t.Fatal(err)
+	}
+	const kindSummary, kindZone = 's', 'z'
+	tried := make(chan int, 10000)
+	for i := range gossip.ZoneSummaryThreshold {
+		c, err := net.ListenUDP("udp4", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { c.Close() })
+		data, err := cbor.Marshal(placement.Summary{Router: fmt.Sprintf("b%02d", i), Zone: "zone-b", Address: c.LocalAddr().String()})
+		if err != nil {
+			t.Fatal(err)
+		}
+		if _, err := c.WriteTo(append(data, kindSummary), to); err != nil {
+			t.Fatal(err)
+		}
+		go func() {
+			buffer := make([]byte, 64<<10)
+			for {
+				n, err := c.Read(buffer)
+				if err != nil {
+					return
+				}
+				if buffer[n-1] == kindZone {
+					tried <- i
+				}
+			}
+		}()
+	}
+	seen := map[int]bool{}
+	for deadline := time.After(10 * time.Second); len(seen) < gossip.ZoneSummaryThreshold; {
+		select {
+		case i := <-tried:
+			seen[i] = true
+		case <-deadline:
+			t.Fatalf("got zone summaries at %d of %d routers of a zone that is silent, want all", len(seen), gossip.ZoneSummaryThreshold)
+		}
+	}
+}
--- a/gossip/zones.go
+++ b/gossip/zones.go
@@ -62,26 +62,24 @@
 	g.send(append(data, kindZone), g.remoteForwarders(now))
 }
 
-// remoteForwarders returns the forwarders of the other zones: those in a zone's last summary, or, if none
-// came within peerTimeout, the zone's routers whose last summaries are the most recent.
+// remoteForwarders returns the forwarders of the other zones, by their last summaries. Of a zone from which
+// none came within peerTimeout, it returns zoneForwarders other routers too, in each period the next ones:
+// those that it heard last may have gone.
 func (g *Gossip) remoteForwarders(now time.Time) (to []netip.AddrPort) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	unreachable := map[string][]*router{}
-	for _, r := range g.routers {
-		if r.zone != "" && r.zone != g.zone && !g.zoneReachable(now, r.zone) {
-			unreachable[r.zone] = append(unreachable[r.zone], r)
-		}
+	for _, z := range g.zones {
+		to = append(to, z.forwarders...)
 	}
-	for name, z := range g.zones {
-		if g.zoneReachable(now, name) {
-			to = append(to, z.forwarders...)
+	unreachable := map[string][]netip.AddrPort{}
+	for _, r := range g.sorted() {
+		if r.zone != "" && r.zone != g.zone && !g.zoneReachable(now, r.zone) {
+			unreachable[r.zone] = append(unreachable[r.zone], r.address)
 		}
 	}
-	for _, list := range unreachable {
-		slices.SortFunc(list, func(a, b *router) int { return b.lastSeen.Compare(a.lastSeen) })
-		for _, r := range list[:min(zoneForwarders, len(list))] {
-			to = append(to, r.address)
+	for _, addresses := range unreachable {
+		for i := range min(zoneForwarders, len(addresses)) {
+			to = append(to, addresses[(g.periods*zoneForwarders+i)%len(addresses)])
 		}
 	}
 	return to
