Waiting requests that find no server do not hold up those behind them that would

Cause: a dispatch ends after 13 failed searches with 60 servers and begins with the oldest waiting requests each time; and a request must wait behind any other of its customer and priority. So short prompts waited behind long ones whose prefill servers were busy, until they were late. Change: the searches are split between four kinds of waiting requests (long or short prompt, within the share or not); after a failure the next of a kind are chosen at random; a request waits behind others of its own kind only. TestWaitingLongPromptsDoNotHoldUpShortOnes failed before (refused as full after 1 s) and passes.

--- a/placement/placement.go
+++ b/placement/placement.go
@@ -314,8 +314,8 @@
 		return nil, &Refusal{Reason: NoRetryBudget, RetryAfter: p.retryAfter(req, false)}
 	}
 	c := p.shares.customer(req.Customer)
-	overShare := req.PromptTokens > 0 && p.shares.exceedsShare(now, c, req.cost())
-	w := &waiter{request: req, customer: c, arrivedAt: now, overShare: overShare}
+	w := &waiter{request: req, customer: c, arrivedAt: now}
+	p.classify(now, pl, w)
 	if !pl.mustQueue(w) {
 		if g := p.tryGrant(now, pl, w); g != nil {
 			p.mu.Unlock()
--- a/placement/placement_test.go
+++ b/placement/placement_test.go
@@ -604,3 +604,60 @@
 		})
 	}
 }
+
+// Searches for the oldest waiting requests used up a dispatch, so small ones behind them got no server though some were idle.
+func TestWaitingLongPromptsDoNotHoldUpShortOnes(t *testing.T) {
+	p := newPlacement(modelServices(true), 1, 9)
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	var waiting atomic.Int64
+	for range 140 {
+		req := newRequest("a", 12000)
+		req.LatencyObjective, req.OnWait = time.Minute, func() { waiting.Add(1) }
+		p.RecordArrival(time.Now(), req)
+		go p.Admit(ctx, req)
+	}
+	for range 200 {
+		if waiting.Load() >= 100 {
+			break
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+	if waiting.Load() < 100 {
+		t.Fatalf("%d requests wait, want 100 or more", waiting.Load())
+	}
+	go func() {
+		for now := range time.Tick(8 * time.Millisecond) {
+			if ctx.Err() != nil {
+				return
+			}
+			p.Tick(now)
+		}
+	}()
+	small := newRequest("a", 300)
+	small.LatencyObjective = 2 * time.Second
+	small.Objective = time.Now().Add(small.LatencyObjective)
+	p.RecordArrival(time.Now(), small)
+	if g, r := p.Admit(context.Background(), small); g == nil {
+		t.Errorf("got %v, want a server: those for short prompts are idle", r)
+	}
+}
+
+// BenchmarkTickWithWaitingRequests measures a dispatch that finds no server for 150 waiting requests.
+func BenchmarkTickWithWaitingRequests(b *testing.B) {
+	p := newPlacement(modelServices(true), 90, 60)
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	for i := range 1500 {
+		req := newRequest(fmt.Sprint("c", i%5), 12000)
+		req.LatencyObjective, req.Objective, req.Deadline = time.Hour, time.Now().Add(300*time.Millisecond), time.Now().Add(time.Hour)
+		p.RecordArrival(time.Now(), req)
+		go p.Admit(ctx, req)
+	}
+	time.Sleep(200 * time.Millisecond)
+	now := time.Now()
+	b.ResetTimer()
+	for i := range b.N {
+		p.Tick(now.Add(time.Duration(i) * 8 * time.Millisecond))
+	}
+}
--- a/placement/pool.go
+++ b/placement/pool.go
@@ -53,12 +53,12 @@
 
 // pool is the backend servers of one service and the requests that wait for them.
 type pool struct {
-	placement    *Placement
-	service      *route.Service
-	servers      []*server
-	waiting      []*waiter
-	dispatchedAt time.Time
-	retries      retryBudget
+	placement     *Placement
+	service       *route.Service
+	servers       []*server
+	waiting       []*waiter
+	dispatchAfter time.Time // no dispatch before
+	retries       retryBudget
 
 	msPerToken        float64               // estimated prefill time of a token
 	baseMs            float64               // estimated time to the first event beyond prefill
--- a/placement/queue.go
+++ b/placement/queue.go
@@ -3,6 +3,7 @@
 // This file defines how requests wait for a server: in which order and for how long.
 
 import (
+	"cmp"
 	"context"
 	"math/rand/v2"
 	"slices"
@@ -16,9 +17,16 @@
 	arrivedAt  time.Time
 	granted    chan *Grant // holds one grant; nil until the request is queued
 	overShare  bool        // the customer was above its fair share at the last check
+	longPrompt bool        // the request belongs on a prefill server, by the last check
 	rejections Rejections  // of the last search
 }
 
+// kind is what the search for a server depends on most.
+type kind struct{ longPrompt, spareOnly bool }
+
+// kind returns the waiter's kind.
+func (w *waiter) kind() kind { return kind{w.longPrompt, w.spareOnly()} }
+
 // await waits until a queued request gets a server, maxWait passes or ctx ends.
 func (p *Placement) await(ctx context.Context, pl *pool, w *waiter, maxWait time.Duration) (*Grant, *Refusal) {
 	timer := time.NewTimer(maxWait)
@@ -128,11 +136,11 @@
 	return w.arrivedAt.Before(x.arrivedAt)
 }
 
-// mustQueue reports whether a request of the same customer, priority, lateness and
-// fair-share state is waiting, which the new request must not overtake.
+// mustQueue reports whether a request of the same customer, kind, priority and lateness is
+// waiting, which the new request must not overtake.
 func (pl *pool) mustQueue(w *waiter) bool {
 	for _, x := range pl.waiting {
-		if x.overShare == w.overShare && x.request.Late == w.request.Late && x.request.Priority == w.request.Priority && x.customer == w.customer {
+		if x.kind() == w.kind() && x.request.Late == w.request.Late && x.request.Priority == w.request.Priority && x.customer == w.customer {
 			return true
 		}
 	}
@@ -164,21 +172,21 @@
 // server of the pool.
 const (
 	searchBudget        = 800                  // servers checked in failed searches before a dispatch ends
-	minMisses           = 4                    // failed searches that are allowed in a pool of any size
+	kinds               = 4                    // of waiting requests, between which the budget is split
+	minMisses           = 4                    // failed searches for each kind that are allowed in a pool of any size
 	minDispatchInterval = 2 * time.Millisecond // between two dispatches of a pool
 )
 
 // dispatch assigns servers to waiting requests, in order of precedence. It does nothing
 // within minDispatchInterval of the previous dispatch of the pool.
 func (p *Placement) dispatch(now time.Time, pl *pool) {
-	if len(pl.waiting) == 0 || now.Sub(pl.dispatchedAt) < minDispatchInterval {
+	if len(pl.waiting) == 0 || now.Before(pl.dispatchAfter) {
 		return
 	}
-	pl.dispatchedAt = now
-	misses := max(minMisses, searchBudget/max(1, len(pl.servers)))
+	pl.dispatchAfter = now.Add(minDispatchInterval)
 	bucket := p.shares.bucket(now)
 	for _, w := range pl.waiting {
-		w.overShare = w.request.PromptTokens > 0 && p.shares.exceedsShare(now, w.customer, w.request.cost())
+		p.classify(now, pl, w)
 	}
 	slices.SortStableFunc(pl.waiting, func(a, b *waiter) int {
 		switch {
@@ -192,19 +200,43 @@
 	for _, s := range pl.servers {
 		s.reservedFor = nil
 	}
+	pl.waiting = p.grantWaiting(now, pl)
+}
+
+// classify updates what decides the kind of a waiting request.
+func (p *Placement) classify(now time.Time, pl *pool, w *waiter) {
+	req := w.request
+	if req.PromptTokens == 0 {
+		return
+	}
+	w.overShare = p.shares.exceedsShare(now, w.customer, req.cost())
+	w.longPrompt = pl.needsPrefillServer(req, milliseconds(cmp.Or(req.MaxEventGap, defaultEventGap)))
+}
+
+// grantWaiting assigns servers to the waiting requests and returns those that get none. After
+// a failed search, the next requests of the same kind are likely to fail too: some of them
+// are searched for, chosen at random, so that they hold up neither those of other kinds nor those
+// behind them.
+func (p *Placement) grantWaiting(now time.Time, pl *pool) []*waiter {
+	budget := max(minMisses, searchBudget/kinds/max(1, len(pl.servers)))
+	waiting, misses := map[kind]int{}, map[kind]int{}
+	for _, w := range pl.waiting {
+		waiting[w.kind()]++
+	}
 	kept := pl.waiting[:0]
 	for _, w := range pl.waiting {
-		if misses > 0 {
+		k := w.kind()
+		if misses[k] == 0 || misses[k] < budget && rand.IntN(waiting[k]) < 2*budget {
 			if g := p.tryGrant(now, pl, w); g != nil {
 				w.granted <- g
 				continue
 			}
-			misses--
+			misses[k]++
 		}
 		kept = append(kept, w)
 	}
 	clear(pl.waiting[len(kept):])
-	pl.waiting = kept
+	return kept
 }
 
 // Tick assigns servers to waiting requests. It must be called periodically, since
