A dispatch rests in proportion to the time that it took, so waiting requests leave the processor to running ones

What callers saw: at a router of 0.19 cores with 150 requests waiting, everything else came late. Cause: a dispatch for a full queue of a pool of 60 servers takes 0.2 to 0.4 ms of processor (BenchmarkTickWithWaitingRequests) and might begin each 2 ms, at each end of a request: up to the whole of such a router. Change: the next dispatch begins after twelve times the duration of the last one, as the router's clock shows it, which counts a slow processor. No test fails without this change: what it bounds is processor time, and tests here assert none.

--- a/placement/queue.go
+++ b/placement/queue.go
@@ -175,15 +175,18 @@
 	kinds               = 4                    // of waiting requests, between which the budget is split
 	minMisses           = 4                    // failed searches for each kind that are allowed in a pool of any size
 	minDispatchInterval = 2 * time.Millisecond // between two dispatches of a pool
+	dispatchRest        = 12                   // time between two dispatches of a pool, in durations of the last one
 )
 
 // dispatch assigns servers to waiting requests, in order of precedence. It does nothing
-// within minDispatchInterval of the previous dispatch of the pool.
+// within minDispatchInterval of the previous dispatch of the pool, and longer on a router on
+// which that one took long: there, waiting requests must not take the processor from running ones.
 func (p *Placement) dispatch(now time.Time, pl *pool) {
 	if len(pl.waiting) == 0 || now.Before(pl.dispatchAfter) {
 		return
 	}
-	pl.dispatchAfter = now.Add(minDispatchInterval)
+	began := time.Now()
+	defer func() { pl.dispatchAfter = now.Add(max(minDispatchInterval, dispatchRest*time.Since(began))) }()
 	bucket := p.shares.bucket(now)
 	for _, w := range pl.waiting {
 		p.classify(now, pl, w)
