Placement: use without contention is not charged to the pace of spare capacity; a dispatch rests 40 ms at most

No test shows it: the pace refills over the same time, so a test would have to run for 13 s. And a dispatch during which the VM's processor was taken away would have rested for long.

--- a/placement/grant.go
+++ b/placement/grant.go
@@ -35,10 +35,10 @@
 	queuedCost         float64       // prefill cost that was pending at the server before this request, in tokens
 	expectedFirstEvent time.Duration // expected time to the first event
 	firstEventSeen     bool
-	late               bool // an objective of the stream was missed
-	migrated           bool // prefill ran on another server
-	withinShare        bool // the request uses the customer's fair share
-	ended              bool // End or EndUnsent was called
+	late               bool   // an objective of the stream was missed
+	migrated           bool   // prefill ran on another server
+	charge             charge // what its cost was charged to
+	ended              bool   // End or EndUnsent was called
 }
 
 // ID returns the ID of the backend server.
@@ -168,7 +168,7 @@
 	if g.request.PromptTokens == 0 || g.migrated {
 		return
 	}
-	g.customer.addServed(g.placement.shares.bucket(now), -g.request.cost(), g.withinShare)
+	g.customer.addServed(g.placement.shares.bucket(now), -g.request.cost(), g.charge)
 	s := g.server
 	s.busyUntil = s.busyUntil.Add(-s.prefillTime(g.prefillCost))
 }
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -373,8 +373,8 @@
 		s.pendingCost += c.prefillCost
 		s.sentTokens += uint64(c.prefillCost)
 		s.segments.recordUse(req.Segments)
-		g.withinShare = p.shares.fairShare > 0 && !w.overShare
-		w.customer.addServed(p.shares.bucket(now), req.cost(), g.withinShare)
+		g.charge = p.shares.charge(w.overShare)
+		w.customer.addServed(p.shares.bucket(now), req.cost(), g.charge)
 	}
 	return g
 }
--- a/placement/queue.go
+++ b/placement/queue.go
@@ -171,11 +171,11 @@
 // Limits on the processor time of dispatch, where a search that fails checks every
 // server of the pool.
 const (
-	searchBudget        = 800                  // servers checked in failed searches before a dispatch ends
-	kinds               = 4                    // of waiting requests, between which the budget is split
+	searchBudget        = 800                  // servers checked in failed searches for requests of one kind
 	minMisses           = 4                    // failed searches for each kind that are allowed in a pool of any size
 	minDispatchInterval = 2 * time.Millisecond // between two dispatches of a pool
 	dispatchRest        = 12                   // time between two dispatches of a pool, in durations of the last one
+	maxDispatchInterval = 40 * time.Millisecond
 )
 
 // dispatch assigns servers to waiting requests, in order of precedence. It does nothing
@@ -186,7 +186,9 @@
 		return
 	}
 	began := time.Now()
-	defer func() { pl.dispatchAfter = now.Add(max(minDispatchInterval, dispatchRest*time.Since(began))) }()
+	defer func() {
+		pl.dispatchAfter = now.Add(min(max(minDispatchInterval, dispatchRest*time.Since(began)), maxDispatchInterval))
+	}()
 	bucket := p.shares.bucket(now)
 	for _, w := range pl.waiting {
 		p.classify(now, pl, w)
@@ -221,7 +223,7 @@
 // are searched for, chosen at random, so that they hold up neither those of other kinds nor those
 // behind them.
 func (p *Placement) grantWaiting(now time.Time, pl *pool) []*waiter {
-	budget := max(minMisses, searchBudget/kinds/max(1, len(pl.servers)))
+	budget := max(minMisses, searchBudget/max(1, len(pl.servers)))
 	waiting, misses := map[kind]int{}, map[kind]int{}
 	for _, w := range pl.waiting {
 		waiting[w.kind()]++
--- a/placement/share.go
+++ b/placement/share.go
@@ -42,15 +42,25 @@
 	return usage{demand: c.demand.sum(bucket), served: c.served.sum(bucket), withinShare: c.withinShare.sum(bucket)}
 }
 
+// charge is what the cost of a request that was sent to a server is charged to.
+type charge uint8
+
+const (
+	toNothing charge = iota // there was no share
+	toShare
+	toSpare
+)
+
 // addServed adds the cost of a request that was sent to a server, or subtracts it if it did not run.
-func (c *customer) addServed(bucket int64, cost float64, withinShare bool) {
+func (c *customer) addServed(bucket int64, cost float64, to charge) {
 	c.served.add(bucket, cost)
-	if !withinShare {
+	switch to {
+	case toShare:
+		c.withinShare.add(bucket, cost)
+		c.sharePace.credit -= cost
+	case toSpare:
 		c.sparePace.credit -= cost
-		return
 	}
-	c.withinShare.add(bucket, cost)
-	c.sharePace.credit -= cost
 }
 
 // shares holds the usage of all customers and the fair share that is computed from it. A customer is
@@ -74,6 +84,17 @@
 	return &shares{customers: map[string]*customer{}, reports: map[string]*usageReport{}, startedAt: now}
 }
 
+// charge returns what a request is charged to that is granted now.
+func (s *shares) charge(overShare bool) charge {
+	switch {
+	case s.fairShare <= 0:
+		return toNothing
+	case overShare:
+		return toSpare
+	}
+	return toShare
+}
+
 // bucket returns the number of the bucket that a time lies in.
 func (s *shares) bucket(now time.Time) int64 {
 	return int64(now.Sub(s.startedAt)/bucketLength) + slidingBuckets
