Logs tell what had come of a response when its server broke off, and the parts of the prompt

Callers saw 502 whenever a server ended. The new line server-broke-off has both; it is of level warn, because the busiest router drops lines of level info while it refuses.

--- a/ingress/attempt.go
+++ b/ingress/attempt.go
@@ -81,6 +81,7 @@
 		return true, &result{status: 503, cause: causeUnreachable, retryAfter: defaultRetryAfter}
 	}
 	x.endGrant(g, placement.Broken)
+	x.logBroken(g, err)
 	x.flow.Suspects.RecordCrash(time.Now(), x.digest)
 	if x.flow.Suspects.Quarantined(time.Now(), x.digest) {
 		return false, &result{status: 502, cause: causeBroken}
--- a/ingress/headers.go
+++ b/ingress/headers.go
@@ -39,6 +39,7 @@
 	promptTokens int
 	outputTokens int
 	segments     []placement.Segment
+	parts        []string // IDs of the parts of the prompt, all but the last
 }
 
 // parse reads a request header. Values that cannot be parsed count as absent.
@@ -53,7 +54,7 @@
 	if n := parseCount(h.Get(names.OutputTokensHint)); n > 0 && (m.outputTokens == 0 || n < m.outputTokens) {
 		m.outputTokens = n
 	}
-	m.segments = sharedSegments(h.Get(names.Segments))
+	m.segments, m.parts = sharedSegments(h.Get(names.Segments))
 	return m
 }
 
@@ -69,14 +70,15 @@
 // maxSegments is the number of leading segments of a prompt that are considered.
 const maxSegments = 16
 
-// sharedSegments returns the prompt segments that other requests may share: all but the
-// last, which is specific to the request. Each ID is a hash of the segment and all before it.
-func sharedSegments(s string) []placement.Segment {
+// sharedSegments returns the prompt segments that other requests may share, and the IDs of the
+// parts that they end with: all but the last, which is specific to the request. The ID of a
+// segment is a hash of its part and all before it, that of a part is the same after any other.
+func sharedSegments(s string) (segments []placement.Segment, parts []string) {
 	if s == "" {
-		return nil
+		return nil, nil
 	}
 	fields := strings.Split(s, ",")
-	segments := make([]placement.Segment, 0, len(fields))
+	segments = make([]placement.Segment, 0, len(fields))
 	prefixHash := uint64(0)
 	for _, f := range fields[:min(len(fields)-1, maxSegments)] {
 		id, tokens, ok := strings.Cut(strings.TrimSpace(f), ":")
@@ -85,6 +87,7 @@
 		}
 		prefixHash = prefixHash*31 + xxhash.Sum64String(id)
 		segments = append(segments, placement.Segment{ID: prefixHash, Tokens: parseCount(tokens)})
+		parts = append(parts, id)
 	}
-	return segments
+	return segments, parts
 }
--- a/ingress/log.go
+++ b/ingress/log.go
@@ -67,3 +67,14 @@
 	}
 	e.Msg("request")
 }
+
+// logBroken logs that a backend server broke off, what had come of the response by then, and the
+// parts of the prompt that may be why.
+func (x *call) logBroken(g *placement.Grant, err error) {
+	e := x.flow.Logger.Warn().Str("request", x.meta.id).Str("server", g.ID()).Int64("started_unix_ms", g.ServerStartedMs()).
+		Dur("since_sent_ms", time.Since(g.SentAt())).Dur("since_first_bytes_ms", g.SinceFirstEvent(time.Now())).Strs("parts", x.meta.parts)
+	if s := x.stream; s != nil {
+		e = e.Int("chunks", s.chunks).Int("partial_bytes", len(s.partial)).Str("last_event", s.lastID).Bool("whole_events", s.wholeEvents)
+	}
+	e.Err(err).Msg("server-broke-off")
+}
--- a/placement/grant.go
+++ b/placement/grant.go
@@ -27,6 +27,7 @@
 	request            *Request
 	customer           *customer
 	id                 string
+	startedMs          int64 // start time of the server in Unix milliseconds; 0 if unknown
 	address            string
 	kvFetchAddress     string // server to fetch KV cache from, or ""
 	sentAt             time.Time
@@ -35,15 +36,33 @@
 	queuedCost         float64       // prefill cost that was pending at the server before this request, in tokens
 	expectedFirstEvent time.Duration // expected time to the first event
 	firstEventSeen     bool
-	late               bool   // an objective of the stream was missed
-	migrated           bool   // prefill ran on another server
-	charge             charge // what its cost was charged to
-	ended              bool   // End or EndUnsent was called
+	firstEventAt       time.Time // when the first event arrived at this router; zero before
+	late               bool      // an objective of the stream was missed
+	migrated           bool      // prefill ran on another server
+	charge             charge    // what its cost was charged to
+	ended              bool      // End or EndUnsent was called
 }
 
 // ID returns the ID of the backend server.
 func (g *Grant) ID() string { return g.id }
 
+// ServerStartedMs returns when the backend server started, in Unix milliseconds, or 0 if unknown.
+func (g *Grant) ServerStartedMs() int64 { return g.startedMs }
+
+// SentAt returns when the request was assigned to the backend server.
+func (g *Grant) SentAt() time.Time { return g.sentAt }
+
+// SinceFirstEvent returns the time since the first event arrived from this backend server, or 0
+// if none has.
+func (g *Grant) SinceFirstEvent(now time.Time) time.Duration {
+	g.placement.mu.Lock()
+	defer g.placement.mu.Unlock()
+	if g.firstEventAt.IsZero() {
+		return 0
+	}
+	return now.Sub(g.firstEventAt)
+}
+
 // Address returns the IP address and port of the backend server.
 func (g *Grant) Address() string { return g.address }
 
@@ -67,7 +86,7 @@
 	if g.firstEventSeen || g.ended {
 		return
 	}
-	g.firstEventSeen = true
+	g.firstEventSeen, g.firstEventAt = true, now
 	s := g.server
 	s.prefilling--
 	s.pendingCost = max(0, s.pendingCost-g.prefillCost)
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -352,7 +352,7 @@
 	s, req := c.server, w.request
 	g := &Grant{
 		placement: p, server: s, request: req, customer: w.customer,
-		id: s.ID, address: s.Address, sentAt: now, prefillTokens: c.prefillTokens, prefillCost: c.prefillCost, expectedFirstEvent: c.firstEvent,
+		id: s.ID, startedMs: s.StartedMs, address: s.Address, sentAt: now, prefillTokens: c.prefillTokens, prefillCost: c.prefillCost, expectedFirstEvent: c.firstEvent,
 	}
 	if !c.isOwner {
 		pl.setKVHolder(req.Segments, s)
