--- a/gateway/fleet.go
+++ b/gateway/fleet.go
@@ -10,6 +10,7 @@
 	"bulrushtally/gossip"
 	"bulrushtally/placement"
 	"bulrushtally/platform"
+	"bulrushtally/quarantine"
 )
 
 var _ gossip.Handler = (*Gateway)(nil)
@@ -18,7 +19,7 @@
 func (g *Gateway) Summary() *placement.Summary {
 	m := &placement.Summary{
 		Router: g.settings.VM, Incarnation: g.incarnation, Zone: g.settings.Zone, Address: g.gossip.Address(),
-		Leaving: g.leaving.Load(), Crashes: g.suspects.reportOwn(),
+		Leaving:           g.leaving.Load(),
 		ServerRowsVersion: g.followers.servers.NewestRow(), OperatorRowsVersion: g.followers.operator.NewestRow(),
 	}
 	confirmed := g.operatorRows.lastConfirmation()
@@ -32,7 +33,7 @@
 	confirmed := g.operatorRows.lastConfirmation()
 	m := &placement.Summary{
 		Router: g.settings.Zone, Sender: g.settings.VM, Incarnation: g.incarnation, Zone: g.settings.Zone, Address: g.gossip.Address(),
-		Crashes: g.suspects.reportZone(), ServerRowsVersion: g.followers.servers.NewestRow(), OperatorRowsVersion: g.followers.operator.NewestRow(),
+		ServerRowsVersion: g.followers.servers.NewestRow(), OperatorRowsVersion: g.followers.operator.NewestRow(),
 		ConfigVersion: confirmed.version, ConfirmedAt: uint64(confirmed.storeClock.Milliseconds()),
 	}
 	g.placer.FillZoneSummary(time.Now(), m)
@@ -46,13 +47,22 @@
 	g.followers.operator.CatchUpTo(m.OperatorRowsVersion)
 	g.followers.servers.CatchUpTo(m.ServerRowsVersion)
 	sameZone := m.Zone == g.settings.Zone
-	g.suspects.merge(now, m.Crashes, sameZone)
 	if !sameZone && m.ZoneRouters == 0 && g.knownRouters.Load() > gossip.ZoneSummaryThreshold {
 		return // in a large fleet, its zone's summary covers it
 	}
 	g.placer.ApplySummary(now, m)
 }
 
+// QuarantineReports returns what this router, or its zone, tells others of what crashes backend servers.
+func (g *Gateway) QuarantineReports(zone bool) []quarantine.Report {
+	return g.suspects.reports(time.Now(), zone)
+}
+
+// ApplyQuarantineReports applies the reports of another router or zone.
+func (g *Gateway) ApplyQuarantineReports(reports []quarantine.Report, sameZone bool) {
+	g.suspects.merge(time.Now(), reports, sameZone)
+}
+
 // ZoneUpdate returns the recent changes of the store, for the other routers of the zone. It
 // returns nil if this router does not poll the store, or if every router does because
 // the fleet is small.
@@ -61,13 +71,13 @@
 		return nil
 	}
 	confirmed := g.operatorRows.lastConfirmation()
-	operator, servers := g.followers.operator.Delta(), g.followers.servers.Delta()
+	operator, servers, quarantined := g.followers.operator.Delta(), g.followers.servers.Delta(), g.followers.quarantine.Delta()
 	if sinceFailure := servers.FailureAge; sinceFailure > 0 && (operator.FailureAge == 0 || sinceFailure < operator.FailureAge) {
 		operator.FailureAge = sinceFailure
 	}
 	servers.FailureAge = operator.FailureAge // both tables are in one store, so the later failure counts for both
 	return &gossip.ZoneUpdate{
-		Router: g.settings.VM, ConfigVersion: confirmed.version, ConfirmedAt: uint64(confirmed.storeClock.Milliseconds()), Tables: []follow.Delta{operator, servers},
+		Router: g.settings.VM, ConfigVersion: confirmed.version, ConfirmedAt: uint64(confirmed.storeClock.Milliseconds()), Tables: []follow.Delta{operator, servers, quarantined},
 	}
 }
 
@@ -79,6 +89,8 @@
 			g.followers.operator.ApplyDelta(t)
 		case platform.ServerTable:
 			g.followers.servers.ApplyDelta(t)
+		case QuarantineTable:
+			g.followers.quarantine.ApplyDelta(t)
 		}
 	}
 	g.confirm(update.ConfigVersion, update.ConfirmedAt)
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -72,7 +72,7 @@
 	suspects       *suspects
 	serverRows     *serverTable
 	operatorRows   *operatorTable
-	followers      struct{ operator, servers *follow.Follower }
+	followers      struct{ operator, servers, quarantine *follow.Follower }
 	gossip         *gossip.Gossip
 	ingress        *ingress.Server
 	readyServer    *fasthttp.Server // for the load balancer's readiness checks
@@ -92,7 +92,7 @@
 	debug.SetMemoryLimit(int64(memoryLimitFraction * float64(s.MemoryLimitMB) * (1 << 20)))
 	g := &Gateway{
 		settings: s, logger: logger.With().Str("vm", s.VM).Logger(), done: make(chan struct{}),
-		store: platform.NewStoreClient(s.StoreAddress), currentConfig: route.NewCurrentTable(), suspects: newSuspects(),
+		store: platform.NewStoreClient(s.StoreAddress), currentConfig: route.NewCurrentTable(),
 		incarnation: uint64(time.Now().UnixNano()),
 	}
 	g.initMetrics()
@@ -127,6 +127,8 @@
 	g.followers.operator = g.newFollower(platform.OperatorTable, g.operatorRows, g.configPollWait)
 	g.serverRows = &serverTable{placer: g.placer, storeFailed: g.storeFailedRecently, logger: g.logger, keptUntil: map[string]time.Time{}}
 	g.followers.servers = g.newFollower(platform.ServerTable, g.serverRows, g.serverPollWait)
+	g.suspects = newSuspects(s.VM, g.store, g.metrics, g.logger)
+	g.followers.quarantine = g.newFollower(QuarantineTable, g.suspects, func() time.Duration { return quarantineLongPoll })
 	var err error
 	if g.gossip, err = gossip.New(s.VM, s.Zone, net.JoinHostPort(s.IP, strconv.Itoa(s.PeerPort)), g, g.logger); err != nil {
 		return err
@@ -135,7 +137,7 @@
 		g.gossip.Add("", address)
 	}
 	flow := ingress.NewFlow(ingress.Options{
-		Headers: platform.HeaderNames(), CurrentConfig: g.currentConfig, Placer: g.placer, Upstream: g.upstream, Suspects: g.suspects,
+		Headers: platform.HeaderNames(), CurrentConfig: g.currentConfig, Placer: g.placer, Upstream: g.upstream, Quarantine: g.suspects,
 		Migrator: platform.NewMigrator(g.upstream, g.logger),
 		Clock:    boottime, KeyMaxAge: s.MaxRevokeDelay - revokeMargin, RefusalMaxAge: s.MaxConfigDelay, Logger: g.logger, Metrics: g.metrics,
 	})
@@ -243,6 +245,8 @@
 	links := root.Subtree("links")
 	links.Go("operator", g.followers.operator.Run)
 	links.Go("servers", g.followers.servers.Run)
+	links.Go("quarantine", g.followers.quarantine.Run)
+	links.Go("suspects", g.suspects.run)
 	links.Go("gossip", g.gossip.Run)
 	links.Go("register", g.register)
 	links.Go("dispatch", g.dispatch)
--- /dev/null
+++ b/gateway/quarantine_test.go
@@ -0,0 +1,59 @@
+package gateway_test
+
+import (
+	"fmt"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"bulrushtally/platform/platformtest"
+)
+
+// crashingPart is the part of prompts that crashes the servers of startCrashingServers.
+const crashingPart = "bad"
+
+// startCrashingServers starts model servers that crash on crashingPart, and returns them with the count of crashes.
+func startCrashingServers(s *testbed, count int) ([]*platformtest.Server, *atomic.Int64) {
+	var servers []*platformtest.Server
+	crashes := &atomic.Int64{}
+	for i := range count {
+		id := fmt.Sprint("i-", i)
+		b := s.startServer(id, "models", 4)
+		b.CrashOnPart(crashingPart, func() {
+			crashes.Add(1)
+			s.store.Put("servers", id, b.Entry("models", "zone-a", "ready"))
+		})
+		servers = append(servers, b)
+	}
+	return servers, crashes
+}
+
+// sendPrompt sends a request of its own for a prompt with the given parts.
+func (s *testbed) sendPrompt(n int, parts string) response {
+	return s.send("POST", "/models/x", fmt.Sprint("prompt ", n), "Token-Count", "400,20", "Prefix-Hash", fmt.Sprintf("%s,own%d:100", parts, n))
+}
+
+func TestRequestsWithAPartThatCrashesServersStopReachingServers(t *testing.T) {
+	s := newTestbed(t, platformtest.Service("models", "stream", 1, map[string]any{"public": true, "engine": map[string]any{"slots": 8, "kv_capacity": 444000}}))
+	_, crashes := startCrashingServers(s, 6)
+	s.waitReady()
+	for n := 0; n < 40 && crashes.Load() < 5; n++ {
+		s.sendPrompt(n, "customer:100,subject:100,"+crashingPart+":100")
+		s.sendPrompt(100+n, "customer:100,subject:100")
+		time.Sleep(120 * time.Millisecond)
+	}
+	time.Sleep(200 * time.Millisecond)
+	before := crashes.Load()
+	refused := 0
+	for n := range 10 {
+		if a := s.sendPrompt(200+n, fmt.Sprintf("customer:100,other%d:50,%s:100", n, crashingPart)); a.status == 503 && a.header.Get("Retry-After") != "" {
+			refused++
+		}
+		if a := s.sendPrompt(300+n, "customer:100,subject:100"); a.status != 200 || a.err != nil {
+			t.Errorf("got %d (%v) for a sound request beside them, want 200; log:\n%s", a.status, a.err, s.logs)
+		}
+	}
+	if got := crashes.Load() - before; got != 0 || refused != 10 {
+		t.Errorf("got %d servers crashed by, and %d refusals of, 10 requests with a part that crashed %d servers before; want 0 and 10", got, refused, before)
+	}
+}
--- a/gateway/suspects.go
+++ b/gateway/suspects.go
@@ -1,92 +1,241 @@
 package gateway
 
-// This file defines suspects, which finds requests that crash backend servers, from the
-// crashes that this router saw and those that other routers reported.
+// This file defines suspects, which shares one quarantine among the parts of a router, logs what it decides
+// and keeps the store's table of it.
 
 import (
-	"slices"
+	"context"
+	"encoding/json"
 	"sync"
 	"time"
 
+	"github.com/rs/zerolog"
+	"github.com/uber-go/tally/v4"
+
+	"bulrushtally/follow"
 	"bulrushtally/ingress"
-	"bulrushtally/placement"
-	"bulrushtally/schedule"
+	"bulrushtally/quarantine"
 )
 
-// maxReportedCrashes is how many of the latest crashes a router reports to others.
-const maxReportedCrashes = 24
+// QuarantineTable is the store's table of the suspects that are held. Operators release one by deleting its row.
+const QuarantineTable = "quarantine"
+
+// Timing of the store's table.
+const (
+	quarantinePeriod    = 100 * time.Millisecond // between two looks for rows to write
+	writePatience       = 1200 * time.Millisecond
+	quarantineRetry     = 2 * time.Second // until a row that was written, but not listed since, is written again
+	quarantineLongPoll  = 5 * time.Second
+	quarantineTableCall = 700 * time.Millisecond
+)
 
-// suspects is a schedule.Quarantine with the latest crashes that this router saw or that were
-// reported to it. It is safe for concurrent use.
+// rowWriter writes rows of the store.
+type rowWriter interface {
+	Put(table, key string, value []byte, timeout time.Duration) error
+	Remove(table, key string, timeout time.Duration) error
+}
+
+// suspects is a quarantine that is safe for concurrent use, and the store's table of it.
 type suspects struct {
-	mu          sync.Mutex
-	quarantine  *schedule.Quarantine
-	ownCrashes  []placement.Crash // seen by this router, the latest at the end
-	zoneCrashes []placement.Crash // reported by other routers of the zone, the latest at the end
+	logger  zerolog.Logger
+	vm      string
+	store   rowWriter
+	gauge   tally.Gauge
+	accused tally.Counter
+	done    chan struct{}
+
+	mu         sync.Mutex
+	quarantine *quarantine.Quarantine
+
+	triedAt map[quarantine.Suspect]time.Time // last write of a row; used by run alone
 }
 
-var _ ingress.Suspects = (*suspects)(nil)
+var (
+	_ ingress.Quarantine = (*suspects)(nil)
+	_ follow.Table       = (*suspects)(nil)
+)
+
+func newSuspects(vm string, store rowWriter, metrics tally.Scope, logger zerolog.Logger) *suspects {
+	return &suspects{
+		logger: logger, vm: vm, store: store, gauge: metrics.Gauge("quarantined"), accused: metrics.Counter("crashes_seen"), done: make(chan struct{}),
+		quarantine: quarantine.New(), triedAt: map[quarantine.Suspect]time.Time{},
+	}
+}
 
-func newSuspects() *suspects { return &suspects{quarantine: schedule.NewQuarantine()} }
+// Done returns a channel that is closed when run has returned.
+func (s *suspects) Done() <-chan struct{} { return s.done }
 
-// Quarantined reports whether the request with this digest must not run now.
-func (s *suspects) Quarantined(now time.Time, digest uint64) bool {
+// update calls change with the quarantine and logs the changes that it returns, with what has led to them.
+func (s *suspects) update(from string, change func(*quarantine.Quarantine) []quarantine.Change) {
+	s.mu.Lock()
+	changes := change(s.quarantine)
+	count := s.quarantine.Count()
+	s.mu.Unlock()
+	for _, c := range changes {
+		message := "quarantine-ended"
+		if c.Held {
+			message = "quarantined"
+		}
+		s.logger.Warn().Stringer("suspect", c.Suspect).Str("from", from).Int("crashes", c.Crashes).Bool("in_store", c.Listed).
+			Dur("held_for_ms", time.Since(c.Since)).Msg(message)
+	}
+	if len(changes) > 0 {
+		s.gauge.Update(float64(count))
+	}
+}
+
+// Held returns why a request must not run, or nil if it may.
+func (s *suspects) Held(r quarantine.Request) *quarantine.Hold {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.quarantine.Verdict(now, digest) == schedule.VerdictRefused
+	h := s.quarantine.Held(r)
+	if h == nil {
+		return nil
+	}
+	held := *h
+	return &held
 }
 
-// RecordCrash records that a backend server broke the connection while it ran a request.
-func (s *suspects) RecordCrash(now time.Time, digest uint64) {
+// Accused reports whether the request may be the cause of another crash than c.
+func (s *suspects) Accused(r quarantine.Request, c quarantine.Crash) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	record := s.quarantine.RecordCrash(now, digest)
-	s.ownCrashes = appendCrash(s.ownCrashes, placement.Crash{Digest: record.Digest, Count: record.Crashes})
+	return s.quarantine.Accused(r, c)
+}
+
+// RecordCrash records that a backend server broke off while it ran a request, before an answer to it had
+// begun without harm.
+func (s *suspects) RecordCrash(now time.Time, c quarantine.Crash, r quarantine.Request) {
+	s.accused.Inc(1)
+	s.update("own", func(q *quarantine.Quarantine) []quarantine.Change { return q.RecordCrash(now, c, r) })
 }
 
-// appendCrash returns the list with the crash at its end, in place of an earlier crash of
-// the same request. It drops the oldest crash if the list is full, and reuses its memory.
-func appendCrash(list []placement.Crash, c placement.Crash) []placement.Crash {
-	list = slices.DeleteFunc(list, func(x placement.Crash) bool { return x.Digest == c.Digest })
-	if len(list) == maxReportedCrashes {
-		list = append(list[:0], list[1:]...)
+// RecordBegun records that an answer to a request began, and the server was up afterwards.
+func (s *suspects) RecordBegun(now time.Time, r quarantine.Request) {
+	if len(r.Parts) > 0 {
+		s.update("own", func(q *quarantine.Quarantine) []quarantine.Change { return q.RecordBegun(now, r) })
 	}
-	return append(list, c)
 }
 
-// RecordCompletion records that a request ran to its end.
-func (s *suspects) RecordCompletion(digest uint64) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.quarantine.RecordCompletion(digest)
+// RecordCompleted records that a request ran to its end.
+func (s *suspects) RecordCompleted(now time.Time, r quarantine.Request) {
+	s.update("own", func(q *quarantine.Quarantine) []quarantine.Change { return q.RecordCompleted(now, r) })
 }
 
-// reportOwn returns the latest crashes that this router saw.
-func (s *suspects) reportOwn() []placement.Crash {
+// reports returns what this router tells the others, or what its zone tells other zones.
+func (s *suspects) reports(now time.Time, zone bool) []quarantine.Report {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return append([]placement.Crash(nil), s.ownCrashes...)
+	if zone {
+		return s.quarantine.ZoneReports(now)
+	}
+	return s.quarantine.OwnReports(now)
 }
 
-// reportZone returns the latest crashes that the routers of the zone saw.
-func (s *suspects) reportZone() []placement.Crash {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	list := append([]placement.Crash(nil), s.zoneCrashes...)
-	for _, c := range s.ownCrashes {
-		list = appendCrash(list, c)
+// merge records what another router or zone reports.
+func (s *suspects) merge(now time.Time, reports []quarantine.Report, sameZone bool) {
+	s.update("routers", func(q *quarantine.Quarantine) []quarantine.Change { return q.Merge(now, reports, sameZone) })
+}
+
+// quarantineRow is the value of a row of QuarantineTable.
+type quarantineRow struct {
+	VM      string `json:"vm"` // that wrote the row
+	Crashes int    `json:"crashes"`
+	SinceMs int64  `json:"since_ms"` // Unix milliseconds
+}
+
+// Reset replaces the suspects that the store's table lists.
+func (s *suspects) Reset(rows []follow.Row) {
+	listed := map[string]bool{}
+	for _, r := range rows {
+		listed[r.Key] = true
 	}
-	return list
+	s.update("store", func(q *quarantine.Quarantine) (changes []quarantine.Change) {
+		for _, suspect := range q.Listed() {
+			if !listed[suspect.String()] {
+				changes = append(changes, q.Unlist(time.Now(), suspect)...)
+			}
+		}
+		return changes
+	})
+	s.Apply(rows)
 }
 
-// merge records the crashes that another router reported.
-func (s *suspects) merge(now time.Time, list []placement.Crash, sameZone bool) {
+// Apply applies changed rows of the store's table. One that names no suspect is ignored.
+func (s *suspects) Apply(rows []follow.Row) {
+	for _, r := range rows {
+		suspect, err := quarantine.ParseSuspect(r.Key)
+		if err != nil {
+			s.logger.Warn().Err(err).Uint64("row_version", r.Version).Msg("quarantine-row-refused")
+			continue
+		}
+		if r.Deleted {
+			s.update("store", func(q *quarantine.Quarantine) []quarantine.Change { return q.Unlist(time.Now(), suspect) })
+			continue
+		}
+		var row quarantineRow
+		age := time.Duration(0) // of a row that cannot be read; its key is what counts
+		if json.Unmarshal(r.Value, &row) == nil {
+			age = time.Since(time.UnixMilli(row.SinceMs))
+		}
+		s.update("store", func(q *quarantine.Quarantine) []quarantine.Change { return q.List(time.Now(), suspect, age) })
+	}
+}
+
+// Confirm does nothing: a suspect is held until its row is seen to be gone.
+func (s *suspects) Confirm(_, _ time.Duration) {}
+
+// run writes the rows of suspects that are held, and deletes those of suspects that are not to be, until the
+// context ends.
+func (s *suspects) run(ctx context.Context) error {
+	defer close(s.done)
+	t := time.NewTicker(quarantinePeriod)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case now := <-t.C:
+			s.update("age", func(q *quarantine.Quarantine) []quarantine.Change { return q.Tick(now) })
+			s.writeRows(now)
+		}
+	}
+}
+
+// writeRows writes and deletes rows, each at most once within quarantineRetry.
+func (s *suspects) writeRows(now time.Time) {
 	s.mu.Lock()
-	defer s.mu.Unlock()
-	for _, c := range list {
-		if sameZone {
-			s.zoneCrashes = appendCrash(s.zoneCrashes, c)
+	unwritten, outdated := s.quarantine.Unwritten(now, writePatience), s.quarantine.Outdated()
+	s.mu.Unlock()
+	for _, h := range unwritten {
+		if !s.mayTry(now, h.Suspect) {
+			continue
+		}
+		value, err := json.Marshal(quarantineRow{VM: s.vm, Crashes: h.Crashes, SinceMs: time.Now().UnixMilli()})
+		if err == nil {
+			err = s.store.Put(QuarantineTable, h.Suspect.String(), value, quarantineTableCall)
+		}
+		s.logger.Warn().Err(err).Stringer("suspect", h.Suspect).Int("crashes", h.Crashes).Msg("quarantine-row-written")
+	}
+	for _, suspect := range outdated {
+		if s.mayTry(now, suspect) {
+			err := s.store.Remove(QuarantineTable, suspect.String(), quarantineTableCall)
+			s.logger.Warn().Err(err).Stringer("suspect", suspect).Msg("quarantine-row-deleted")
 		}
-		s.quarantine.Merge(now, schedule.CrashRecord{Digest: c.Digest, Crashes: c.Count})
 	}
 }
+
+// mayTry reports whether a suspect's row may be written now, and counts the try.
+func (s *suspects) mayTry(now time.Time, suspect quarantine.Suspect) bool {
+	if now.Sub(s.triedAt[suspect]) < quarantineRetry {
+		return false
+	}
+	if len(s.triedAt) > maxTriedRows {
+		clear(s.triedAt)
+	}
+	s.triedAt[suspect] = now
+	return true
+}
+
+// maxTriedRows bounds suspects.triedAt.
+const maxTriedRows = 1024
--- a/gossip/gossip.go
+++ b/gossip/gossip.go
@@ -17,6 +17,7 @@
 	"github.com/rs/zerolog"
 
 	"bulrushtally/placement"
+	"bulrushtally/quarantine"
 )
 
 // Timing of summaries.
@@ -42,6 +43,11 @@
 	ZoneUpdate() *ZoneUpdate
 	// ApplyZoneUpdate processes the update of another router of the zone.
 	ApplyZoneUpdate(u *ZoneUpdate)
+	// QuarantineReports returns what this router, or its zone, tells others of what crashes backend servers.
+	QuarantineReports(zone bool) []quarantine.Report
+	// ApplyQuarantineReports processes the reports of another router or zone. sameZone is set if it belongs
+	// to this router's zone.
+	ApplyQuarantineReports(reports []quarantine.Report, sameZone bool)
 	// FleetChanged is called in each period with the current state of the fleet.
 	FleetChanged(f Fleet)
 	// RouterUnreachable is called with the name of a sender of summaries when none has come
@@ -165,15 +171,17 @@
 		return due
 	}
 	g.send(append(data, kindSummary), to)
+	g.sendQuarantine(to)
 	return due
 }
 
 // Kinds of datagrams. The last byte of a datagram holds its kind.
 const (
-	kindSummary   = 's'
-	kindUpdate    = 'n'
-	kindZone      = 'z' // zone summary, to be forwarded within the receiver's zone
-	kindForwarded = 'p' // zone summary that has been forwarded
+	kindSummary    = 's'
+	kindUpdate     = 'n'
+	kindZone       = 'z' // zone summary, to be forwarded within the receiver's zone
+	kindForwarded  = 'p' // zone summary that has been forwarded
+	kindQuarantine = 'q'
 )
 
 // send sends a datagram to each address.
@@ -210,6 +218,7 @@
 	}
 	if m.sendsZone {
 		g.sendZoneSummary(now, m.forwarders[:min(zoneForwarders, len(m.forwarders))])
+		g.sendZoneQuarantine(now)
 	}
 	return m.targets
 }
@@ -336,6 +345,11 @@
 		if err = cbor.Unmarshal(data, u); err == nil && u.Router != g.self {
 			g.handler.ApplyZoneUpdate(u)
 		}
+	case kindQuarantine:
+		m := &QuarantineReports{}
+		if err = cbor.Unmarshal(data, m); err == nil {
+			g.handleQuarantine(m)
+		}
 	default:
 		err = errUnknownKind
 	}
--- a/gossip/gossip_test.go
+++ b/gossip/gossip_test.go
@@ -14,6 +14,7 @@
 
 	"bulrushtally/gossip"
 	"bulrushtally/placement"
+	"bulrushtally/quarantine"
 )
 
 // recordingHandler records the summaries and calls that it receives.
@@ -28,6 +29,7 @@
 	address     string
 	zoneHeardAt map[string]time.Time     // when the last zone summary came, by zone
 	zoneSilence map[string]time.Duration // longest time between two zone summaries, by zone
+	quarantine  *quarantine.Quarantine
 }
 
 func (r *recordingHandler) Summary() *placement.Summary {
@@ -69,6 +71,21 @@
 
 func (r *recordingHandler) ApplyZoneUpdate(*gossip.ZoneUpdate) {}
 
+func (r *recordingHandler) QuarantineReports(zone bool) []quarantine.Report {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if zone {
+		return r.quarantine.ZoneReports(time.Now())
+	}
+	return r.quarantine.OwnReports(time.Now())
+}
+
+func (r *recordingHandler) ApplyQuarantineReports(reports []quarantine.Report, sameZone bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.quarantine.Merge(time.Now(), reports, sameZone)
+}
+
 func (r *recordingHandler) FleetChanged(f gossip.Fleet) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -100,7 +117,7 @@
 
 func startInZone(t *testing.T, zone, name string) (*gossip.Gossip, *recordingHandler, context.CancelFunc) {
 	t.Helper()
-	r := &recordingHandler{name: name, zone: zone, received: map[string]int{}, unreachable: map[string]bool{}, zoneHeardAt: map[string]time.Time{}, zoneSilence: map[string]time.Duration{}}
+	r := &recordingHandler{name: name, zone: zone, quarantine: quarantine.New(), received: map[string]int{}, unreachable: map[string]bool{}, zoneHeardAt: map[string]time.Time{}, zoneSilence: map[string]time.Duration{}}
 	g, err := gossip.New(name, zone, "127.0.0.1:0", r, zerolog.Nop())
 	if err != nil {
 		t.Fatal(err)
@@ -194,6 +211,28 @@
 	}
 }
 
+// Three routers of a zone see one crash each; all routers of both zones must hold the part.
+func TestCrashesSeenByDifferentRoutersHoldAPartInAllZones(t *testing.T) {
+	routers, _ := startLargeFleet(t)
+	for _, r := range routers {
+		if !r.eventually(func() bool { return r.received["zone/r00"]+r.received["zone/r01"] > 0 }) {
+			t.Fatalf("router %s received no zone summary within 6 s", r.name)
+		}
+	}
+	request := quarantine.Request{Digest: 9, Parts: []string{"part"}}
+	for i, r := range []*recordingHandler{routers[6], routers[8], routers[10]} { // of zone-a, none of them sends for the zone
+		r.mu.Lock()
+		r.quarantine.RecordCrash(time.Now(), quarantine.Crash{Server: "i", StartedMs: int64(i)}, quarantine.Request{Digest: uint64(i + 1), Parts: []string{"part"}})
+		r.mu.Unlock()
+		time.Sleep(200 * time.Millisecond)
+	}
+	for _, r := range routers {
+		if !r.eventually(func() bool { return r.quarantine.Held(request) != nil }) {
+			t.Errorf("router %s does not hold the part of three crashes within 6 s", r.name)
+		}
+	}
+}
+
 // A returned router is first by name again at once; it sent no zone summary for 32 periods, and nobody else did.
 func TestZoneIsHeardWhileItsFirstRouterReturns(t *testing.T) {
 	routers, stops := startLargeFleet(t)
--- a/ingress/attempt.go
+++ b/ingress/attempt.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"bulrushtally/placement"
+	"bulrushtally/quarantine"
 	"bulrushtally/upstream"
 )
 
@@ -43,11 +44,11 @@
 	return x.forwardResponse(ctx, g, ex)
 }
 
-// send sends the request to the backend server of a grant, unless the caller has left by the time
-// a connection is ready.
+// send sends the request to the backend server of a grant, unless the caller has left or the request must
+// not run any more by the time a connection is ready.
 func (x *call) send(ctx context.Context, g *placement.Grant) (*upstream.Exchange, error) {
 	r := x.buildRequest(g)
-	r.Abandoned = x.conn.closedByCaller
+	r.Abandoned = func() bool { return x.conn.closedByCaller() || x.quarantined() }
 	return x.flow.Upstream.Send(ctx, g.Address(), r)
 }
 
@@ -70,6 +71,9 @@
 	case ctx.Err() != nil && unsent:
 		g.EndUnsent(time.Now())
 		return false, x.contextEnded(ctx)
+	case abandoned && x.hold != nil:
+		g.EndUnsent(time.Now())
+		return false, x.holdResult()
 	case abandoned:
 		g.EndUnsent(time.Now())
 		return false, &result{status: 502, cause: causeLeft}
@@ -82,11 +86,29 @@
 	}
 	x.endGrant(g, placement.Broken)
 	x.logBroken(g, err)
-	x.flow.Suspects.RecordCrash(time.Now(), x.digest)
-	if x.flow.Suspects.Quarantined(time.Now(), x.digest) {
-		return false, &result{status: 502, cause: causeBroken}
+	return x.recordBroken(g, err) && x.rerunAllowed(), &result{status: 502, cause: causeBroken}
+}
+
+// recordBroken records that a backend server broke off with err, and reports whether the request may be the cause
+// of so few crashes that it may run at another server.
+func (x *call) recordBroken(g *placement.Grant, err error) (mayRun bool) {
+	answerBegan := x.stream != nil && x.stream.events >= provenEvents
+	if answerBegan || !upstream.ClosedByServer(err) {
+		return true // another request crashed the server, or it is not known to have crashed
+	}
+	q := x.flow.Quarantine
+	c := quarantine.Crash{Server: g.ID(), StartedMs: g.ServerStartedMs()}
+	q.RecordCrash(time.Now(), c, x.suspect)
+	return q.Held(x.suspect) == nil && !q.Accused(x.suspect, c)
+}
+
+// recordCompleted records that the request ran to its end.
+func (x *call) recordCompleted(answered bool) {
+	q, now := x.flow.Quarantine, time.Now()
+	if answered {
+		q.RecordBegun(now, x.suspect)
 	}
-	return x.rerunAllowed(), &result{status: 502, cause: causeBroken}
+	q.RecordCompleted(now, x.suspect)
 }
 
 // rerunAllowed reports whether the request may run again after a run that failed midway.
@@ -138,7 +160,7 @@
 	} else {
 		x.endGrant(g, placement.Done)
 	}
-	x.flow.Suspects.RecordCompletion(x.digest)
+	x.recordCompleted(!failed)
 	if failed && x.route.CanRepeat() && x.attempts+1 < x.route.MaxAttempts {
 		if forwarded, v := x.retryServerError(ctx); forwarded {
 			return false, v
--- a/ingress/flow.go
+++ b/ingress/flow.go
@@ -16,19 +16,24 @@
 	"github.com/uber-go/tally/v4"
 
 	"bulrushtally/placement"
+	"bulrushtally/quarantine"
 	"bulrushtally/route"
 	"bulrushtally/upstream"
 )
 
-// Suspects detects requests that crash the backend servers that run them. A digest
-// identifies a request and its repetitions; see call.computeDigest.
-type Suspects interface {
-	// Quarantined reports whether a request is in quarantine and may not run now.
-	Quarantined(now time.Time, digest uint64) bool
-	// RecordCrash records that a backend server broke the connection while it ran a request.
-	RecordCrash(now time.Time, digest uint64)
-	// RecordCompletion records that a request ran to its end.
-	RecordCompletion(digest uint64)
+// Quarantine decides which requests must not run, because they crash the backend servers that run them.
+type Quarantine interface {
+	// Held returns why a request must not run, or nil if it may.
+	Held(r quarantine.Request) *quarantine.Hold
+	// Accused reports whether the request may be the cause of another crash than c.
+	Accused(r quarantine.Request, c quarantine.Crash) bool
+	// RecordCrash records that a backend server broke off while it ran the request, before an answer to it
+	// had begun without harm.
+	RecordCrash(now time.Time, c quarantine.Crash, r quarantine.Request)
+	// RecordBegun records that an answer to the request began, and the server was up afterwards.
+	RecordBegun(now time.Time, r quarantine.Request)
+	// RecordCompleted records that the request ran to its end.
+	RecordCompleted(now time.Time, r quarantine.Request)
 }
 
 // Migration describes the KV cache of a request that was stopped for migration.
@@ -52,7 +57,7 @@
 	CurrentConfig *route.CurrentTable
 	Placer        *placement.Placement
 	Upstream      *upstream.Pool
-	Suspects      Suspects
+	Quarantine    Quarantine
 	Migrator      Migrator
 	Clock         func() time.Duration // monotonic, also advances while the VM is suspended
 	KeyMaxAge     time.Duration        // how long keys are accepted after the configuration was last confirmed current
@@ -101,7 +106,8 @@
 	readTime         time.Duration // from conn.requestBegan until the request was read
 	arrived          time.Time     // when the request was read
 	deadline         time.Time
-	digest           uint64
+	suspect          quarantine.Request
+	hold             *quarantine.Hold // why the request must not run, once that was found
 	placementRequest *placement.Request
 	attempts         int  // failed attempts so far, without those on unreachable backend servers
 	mayHaveRun       bool // some backend server may have run the request
@@ -214,7 +220,7 @@
 // the timeout of a route, but not extend it.
 const defaultTimeout = time.Minute
 
-// preparePlacement sets the deadline, the placement request, the digest and the stream
+// preparePlacement sets the deadline, the placement request, what may be quarantined and the stream
 // state of the call.
 func (x *call) preparePlacement() {
 	timeout := x.route.Timeout
@@ -245,7 +251,7 @@
 	if x.service.ServesModels() {
 		x.placementRequest.PromptTokens, x.placementRequest.OutputTokens, x.placementRequest.Segments = x.meta.promptTokens, x.meta.outputTokens, x.meta.segments
 	}
-	x.digest = x.computeDigest()
+	x.suspect = quarantine.Request{Digest: x.computeDigest(), Parts: x.meta.parts}
 	if x.route.Kind == route.Stream {
 		x.stream = newStream(x.route.Resumable, x.http.Header.Get(x.flow.Headers.LastEventID))
 	}
@@ -274,8 +280,8 @@
 // response was forwarded, or otherwise how the call ends.
 func (x *call) run(ctx context.Context) *result {
 	f := x.flow
-	if f.Suspects.Quarantined(x.arrived, x.digest) {
-		return &result{status: 503, cause: "crashes-servers", retryAfter: x.route.Timeout}
+	if x.quarantined() {
+		return x.holdResult()
 	}
 	f.Placer.RecordArrival(x.arrived, x.placementRequest)
 	x.placementRequest.OnWait = x.watchClose
@@ -302,6 +308,21 @@
 	return x.finalFailure(ctx)
 }
 
+// quarantined reports whether the request must not run. It is asked on arrival and again before each
+// send, since the request may have waited, or run elsewhere, meanwhile.
+func (x *call) quarantined() bool {
+	x.hold = x.flow.Quarantine.Held(x.suspect)
+	return x.hold != nil
+}
+
+// holdResult returns how a call ends whose request must not run (again).
+func (x *call) holdResult() *result {
+	if x.mayHaveRun {
+		return &result{status: 502, cause: causeQuarantined}
+	}
+	return &result{status: 503, cause: causeQuarantined, retryAfter: x.route.Timeout}
+}
+
 // refusalResult returns how a call ends that was not placed on a backend server.
 func (x *call) refusalResult(ctx context.Context, r *placement.Refusal) *result {
 	if x.lastFailure != nil && (x.mayHaveRun || r.Reason == placement.NoRetryBudget) {
@@ -330,6 +351,7 @@
 
 // Causes of failed attempts, as sent to callers, logged and counted.
 const (
+	causeQuarantined = "crashes-servers"
 	causeUnreachable = "unreachable"
 	causeDeclined    = "declined"
 	causeBroken      = "broken"
--- a/ingress/log.go
+++ b/ingress/log.go
@@ -59,6 +59,9 @@
 	if s := v.share; cause == string(placement.OverShare) {
 		e = e.Int("share_tokens", int(s.FairShare)).Int("within_share_tokens", int(s.WithinShare)).Int("served_tokens", int(s.Served)).Int("least_served_tokens", int(s.LeastServed)).Float64("idle_spare_fraction", s.IdleSpareFraction).Int("zones_reporting", s.Zones).Dur("oldest_zone_report_ms", s.OldestZoneReport)
 	}
+	if h := x.hold; h != nil {
+		e = e.Stringer("held", h.Suspect).Dur("held_for_ms", time.Since(h.Since)).Int("crashes", h.Crashes)
+	}
 	if v.retryAfter > 0 {
 		e = e.Dur("retry_after_ms", v.retryAfter)
 	}
--- a/ingress/stream.go
+++ b/ingress/stream.go
@@ -23,6 +23,8 @@
 	lastNumber  int64  // lastID as a number, -1 if it is none so far
 	partial     []byte // start of an incomplete event
 	readBuffer  []byte
+	events      int           // whole events that backend servers sent
+	afterLF     bool          // the last byte read ends a line
 	chunks      int           // writes of the stream to the caller
 	lastReadAt  time.Time     // time of the last read that returned data
 	maxGap      time.Duration // longest time between two such reads
@@ -60,6 +62,7 @@
 		n, err := ex.Read(s.readBuffer)
 		if n > 0 {
 			x.recordRead(g, first)
+			x.recordEvents(s.readBuffer[:n])
 			if first && x.canMigrate() {
 				s.wholeEvents = true
 			}
@@ -89,6 +92,24 @@
 	}
 }
 
+// provenEvents is after how many whole events a server has begun to answer without crashing on that.
+const provenEvents = 2
+
+// recordEvents counts the whole events in data that was read, and records once that the answer has begun.
+func (x *call) recordEvents(b []byte) {
+	s := x.stream
+	before := s.events
+	for _, c := range b {
+		if c == '\n' && s.afterLF {
+			s.events++
+		}
+		s.afterLF = c == '\n' && !s.afterLF
+	}
+	if before < provenEvents && s.events >= provenEvents {
+		x.flow.Quarantine.RecordBegun(time.Now(), x.suspect)
+	}
+}
+
 // canMigrate reports whether the request may migrate. A request migrates at most once.
 func (x *call) canMigrate() bool {
 	return x.flow.Migrator != nil && x.service.Migrates && x.migrations == 0 && x.meta.id != ""
@@ -162,6 +183,9 @@
 	if ctx.Err() != nil {
 		return false, x.contextEnded(ctx)
 	}
+	if x.hold != nil {
+		return false, x.holdResult()
+	}
 	return false, &result{status: 502, cause: causeLeft}
 }
 
@@ -181,6 +205,7 @@
 		n, err := ex.Read(s.readBuffer)
 		if n > 0 {
 			x.recordRead(g, false)
+			x.recordEvents(s.readBuffer[:n])
 			if x.forwardEvents(ex, s.readBuffer[:n]) != nil {
 				x.endGrant(g, placement.Abandoned)
 				return true, &result{status: 502, cause: causeLeft}
@@ -266,7 +291,7 @@
 		return x.streamError(context.Background(), g, io.ErrUnexpectedEOF)
 	}
 	x.endGrant(g, placement.Done)
-	x.flow.Suspects.RecordCompletion(x.digest)
+	x.recordCompleted(s.events > 0)
 	if !x.response.started {
 		x.response.bufferHead(ex.Status(), x.responseHeader(ex.Header()))
 	}
--- a/placement/roles.go
+++ b/placement/roles.go
@@ -123,7 +123,7 @@
 	best.running++
 	best.kvTokens += g.request.PromptTokens + g.request.OutputTokens
 	return &Grant{
-		placement: p, server: best, request: g.request, customer: g.customer, id: best.ID, address: best.Address,
+		placement: p, server: best, request: g.request, customer: g.customer, id: best.ID, startedMs: best.StartedMs, address: best.Address,
 		sentAt: now, firstEventSeen: true, migrated: true, late: g.late,
 	}
 }
--- a/placement/summary.go
+++ b/placement/summary.go
@@ -50,18 +50,10 @@
 	OperatorRowsVersion uint64   // version of the newest known row of the operator's table
 	Loads               []Load
 	Usage               []CustomerUsage
-	Crashes             []Crash
+	Crashes             []any // whole requests that crashed servers, from routers of earlier versions; no longer used
 	Fits                []FitSums
 }
 
-// Crash identifies a request that was running when its backend server broke the
-// connection, and how often that happened.
-type Crash struct {
-	_      struct{} `cbor:",toarray"`
-	Digest uint64   // hash of the request
-	Count  int
-}
-
 // peerState is what another router's last summary told, without the usage of customers.
 type peerState struct {
 	zone        string
--- /dev/null
+++ b/quarantine/convict.go
@@ -0,0 +1,123 @@
+package quarantine
+
+// This file defines which suspects the accusations convict.
+
+import (
+	"cmp"
+	"slices"
+	"strings"
+	"time"
+)
+
+// convicted returns the suspects to be held: those that the accusations convict, and those that the store's
+// table lists, unless what this router knows suffices to judge them itself. A crash that one part
+// explains does not count against another one: what each crash breaks off has sound parts, too, and those at
+// the beginning of a customer's prompts are in all of them.
+func (q *Quarantine) convicted(now time.Time) map[Suspect]bool {
+	convicted := map[Suspect]bool{}
+	explained := map[Crash]bool{}
+	var parts, requests []Suspect
+	for s, rec := range q.records {
+		switch {
+		case len(rec.accusations) < crashesToHold || len(rec.counted(now, s.Part != "", nil)) < crashesToHold:
+		case s.Part != "":
+			parts = append(parts, s)
+		default:
+			requests = append(requests, s)
+		}
+	}
+	for s, l := range q.listed {
+		if !l.disproved && now.Sub(l.since) <= HoldTime && !slices.Contains(parts, s) && !slices.Contains(requests, s) {
+			convicted[s] = true
+			q.explain(s, explained)
+		}
+	}
+	for {
+		s, ok := q.likeliest(now, parts, explained)
+		if !ok {
+			break
+		}
+		convicted[s] = true
+		q.explain(s, explained)
+	}
+	for _, s := range requests {
+		if len(q.records[s].counted(now, false, explained)) >= crashesToHold {
+			convicted[s] = true
+		}
+	}
+	return convicted
+}
+
+// explain adds the crashes that a convicted part is accused of, which it explains for other parts.
+func (q *Quarantine) explain(s Suspect, explained map[Crash]bool) {
+	rec := q.records[s]
+	if rec == nil || s.Part == "" {
+		return
+	}
+	for c, a := range rec.accusations {
+		if !a.cleared {
+			explained[c] = true
+		}
+	}
+}
+
+// likeliest returns the part to be convicted next, and false if the crashes that are not explained
+// convict none. A part on which no answer ever began goes first, then the one with most crashes, then the
+// one that comes last in its prompts, which fewest requests share.
+func (q *Quarantine) likeliest(now time.Time, parts []Suspect, explained map[Crash]bool) (Suspect, bool) {
+	var best Suspect
+	var bestRecord *record
+	bestCrashes := 0
+	for _, s := range parts {
+		rec := q.records[s]
+		crashes := len(rec.counted(now, true, explained))
+		if crashes < crashesToHold {
+			continue
+		}
+		if bestRecord == nil || goesBefore(s, rec, crashes, best, bestRecord, bestCrashes) {
+			best, bestRecord, bestCrashes = s, rec, crashes
+		}
+	}
+	return best, bestRecord != nil
+}
+
+// goesBefore reports whether part a is convicted before part b.
+func goesBefore(a Suspect, ra *record, crashesA int, b Suspect, rb *record, crashesB int) bool {
+	switch {
+	case ra.ranBefore != rb.ranBefore:
+		return !ra.ranBefore
+	case crashesA != crashesB:
+		return crashesA > crashesB
+	case ra.depth != rb.depth:
+		return ra.depth > rb.depth
+	}
+	return a.Part < b.Part
+}
+
+// counted returns the accusations that count: those that are neither cleared, expired nor explained. Of
+// crashes within simultaneous one counts, and, if oncePerRequest is set, of those by one request.
+func (rec *record) counted(now time.Time, oncePerRequest bool, explained map[Crash]bool) []*accusation {
+	list := make([]*accusation, 0, len(rec.accusations))
+	for c, a := range rec.accusations {
+		if !a.cleared && !explained[c] && now.Sub(a.at) <= accusationTime {
+			list = append(list, a)
+		}
+	}
+	slices.SortFunc(list, func(a, b *accusation) int { return cmp.Or(a.at.Compare(b.at), cmp.Compare(a.request, b.request)) })
+	counted := list[:0]
+	for _, a := range list {
+		if n := len(counted); n > 0 && a.at.Sub(counted[n-1].at) < simultaneous {
+			continue
+		}
+		if oncePerRequest && slices.ContainsFunc(counted, func(x *accusation) bool { return x.request == a.request }) {
+			continue
+		}
+		counted = append(counted, a)
+	}
+	return counted
+}
+
+// compareSuspects orders suspects by part, then by request.
+func compareSuspects(a, b Suspect) int {
+	return cmp.Or(strings.Compare(a.Part, b.Part), cmp.Compare(a.Request, b.Request))
+}
--- /dev/null
+++ b/quarantine/doc.go
@@ -0,0 +1,16 @@
+// Package quarantine decides which requests must not run because they crash the backend servers
+// that run them.
+//
+// No router sees the whole of it: one router sent the request that crashed a server, and all routers that
+// had requests there see them break off. So each router accuses what may be why (the parts of
+// prompts on which no answer had begun, and the whole requests), and tells the others. An accusation
+// is named by its suspect and by the crash, that is, a server and its start: heard again, or from
+// several routers, it is the same one. It is cleared once an answer on the suspect begins
+// anywhere after the crash is known there. Both are sets that only grow, so routers that heard the same
+// decide the same, in whatever order and however often they heard it.
+//
+// A part is held after three crashes by different requests, a whole request after three crashes. If the fleet is split in two, five crashes
+// are at least three on one side; that side writes a row to the platform's store, which both sides follow.
+//
+// The package does no I/O and takes the time as an argument.
+package quarantine
--- /dev/null
+++ b/quarantine/quarantine.go
@@ -0,0 +1,348 @@
+package quarantine
+
+// This file defines Quarantine, its suspects and what it learns of them.
+
+import (
+	"fmt"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+)
+
+// crashesToHold is how many crashes hold a suspect. Of five crashes, one side of a split fleet has three.
+const crashesToHold = 3
+
+// Times and bounds of a Quarantine.
+const (
+	simultaneous    = 100 * time.Millisecond // crashes within this time are one outage, whatever they have in common
+	accusationTime  = 10 * time.Minute       // how long an accusation counts
+	HoldTime        = time.Hour              // how long a suspect in the store's table is held
+	clearedTime     = 10 * time.Second       // how long a cleared accusation is remembered, so that a late report of it changes nothing
+	maxSuspects     = 4096
+	maxAccusations  = 16   // of one suspect
+	maxKnownParts   = 8192 // parts on which an answer began, all forgotten when there are more
+	maxPartIDBytes  = 64   // parts with longer IDs are not considered
+	maxPartsChecked = 64   // of one request
+)
+
+// Suspect is what may crash backend servers: a part of prompts or a whole request.
+type Suspect struct {
+	_       struct{} `cbor:",toarray"`
+	Part    string   // ID of the part, or "" for a whole request
+	Request uint64   // digest of the request, or 0 for a part
+}
+
+// String returns the suspect's key in the store's table.
+func (s Suspect) String() string {
+	if s.Part != "" {
+		return "part/" + s.Part
+	}
+	return "request/" + strconv.FormatUint(s.Request, 16)
+}
+
+// Crash names a crash of a backend server by the server and the start that the crash ended.
+type Crash struct {
+	_         struct{} `cbor:",toarray"`
+	Server    string
+	StartedMs int64 // Unix milliseconds
+}
+
+// ParseSuspect returns the suspect of a key in the store's table. It fails on anything else.
+func ParseSuspect(key string) (Suspect, error) {
+	kind, name, _ := strings.Cut(key, "/")
+	switch kind {
+	case "part":
+		if name != "" && len(name) <= maxPartIDBytes {
+			return Suspect{Part: name}, nil
+		}
+	case "request":
+		if digest, err := strconv.ParseUint(name, 16, 64); err == nil && digest != 0 {
+			return Suspect{Request: digest}, nil
+		}
+	}
+	return Suspect{}, fmt.Errorf("key %q names no suspect; want part/ID or request/DIGEST", key)
+}
+
+// Request is what a router knows of a request that may be quarantined.
+type Request struct {
+	Digest uint64   // of the whole request; its repetitions share it
+	Parts  []string // IDs of the parts of its prompt that other requests may share, in order
+}
+
+// suspects returns what may make the request crash a server.
+func (r Request) suspects() []Suspect {
+	list := []Suspect{{Request: r.Digest}}
+	for _, id := range r.checkedParts() {
+		list = append(list, Suspect{Part: id})
+	}
+	return list
+}
+
+// checkedParts returns the first maxPartsChecked parts.
+func (r Request) checkedParts() []string { return r.Parts[:min(len(r.Parts), maxPartsChecked)] }
+
+// Hold is why and since when a suspect is held.
+type Hold struct {
+	Suspect Suspect
+	Since   time.Time // when this router began to hold it
+	Crashes int       // that it is accused of, as far as this router knows
+	Listed  bool      // the store's table lists it
+}
+
+// Change is a change of what this router believes of a suspect.
+type Change struct {
+	Hold
+	Held bool // false if it is held no longer
+}
+
+// accusation is a crash that a suspect may be the cause of.
+type accusation struct {
+	at        time.Time // when the crash was seen first
+	request   uint64    // digest of the request that crashed the server, if the suspect is the cause
+	cleared   bool      // an answer on the suspect has begun since
+	changedAt time.Time
+	own       bool // this router accused or cleared it
+	zone      bool // this router or another one of its zone did
+}
+
+// record is what is known of one suspect.
+type record struct {
+	depth       int  // position in the prompts that contain it; a whole request comes after all parts
+	ranBefore   bool // an answer on it began before, at some router
+	accusations map[Crash]*accusation
+}
+
+// listing is a suspect in the store's table.
+type listing struct {
+	since     time.Time
+	disproved bool // an answer on it has begun since
+}
+
+// Quarantine is one router's knowledge of suspects. It is not safe for concurrent use.
+type Quarantine struct {
+	records map[Suspect]*record
+	held    map[Suspect]*Hold
+	listed  map[Suspect]*listing
+	ran     map[string]bool // parts on which an answer began at this router
+}
+
+// New returns an empty Quarantine.
+func New() *Quarantine {
+	return &Quarantine{records: map[Suspect]*record{}, held: map[Suspect]*Hold{}, listed: map[Suspect]*listing{}, ran: map[string]bool{}}
+}
+
+// Held returns why a request must not run, or nil if it may.
+func (q *Quarantine) Held(r Request) *Hold {
+	if len(q.held) == 0 {
+		return nil
+	}
+	if h := q.held[Suspect{Request: r.Digest}]; h != nil {
+		return h
+	}
+	for _, id := range r.checkedParts() {
+		if h := q.held[Suspect{Part: id}]; h != nil {
+			return h
+		}
+	}
+	return nil
+}
+
+// Count returns how many suspects are held.
+func (q *Quarantine) Count() int { return len(q.held) }
+
+// Accused reports whether the request, or a part of its prompt, is accused of a crash other than c and
+// nothing has cleared it.
+func (q *Quarantine) Accused(r Request, c Crash) bool {
+	for _, s := range r.suspects() {
+		if rec := q.records[s]; rec != nil && rec.accusedBeside(c) {
+			return true
+		}
+	}
+	return false
+}
+
+func (rec *record) accusedBeside(c Crash) bool {
+	for crash, a := range rec.accusations {
+		if crash != c && !a.cleared {
+			return true
+		}
+	}
+	return false
+}
+
+// RecordCrash records that a backend server crashed while it ran the request, and accuses the request and
+// its parts. It must not be called if an answer to the request had begun and the server was up afterwards.
+func (q *Quarantine) RecordCrash(now time.Time, c Crash, r Request) []Change {
+	for depth, s := range r.suspects() {
+		if len(s.Part) > maxPartIDBytes {
+			continue
+		}
+		if s.Part == "" {
+			depth = maxPartsChecked + 1
+		}
+		q.accuse(now, s, c, Report{At: now, Request: r.Digest, Depth: depth, RanBefore: q.ran[s.Part]}, true, true)
+	}
+	return q.decide(now)
+}
+
+// RecordBegun records that an answer to the request began and its server was up afterwards, so none of the
+// parts crashes servers.
+func (q *Quarantine) RecordBegun(now time.Time, r Request) []Change {
+	changed := false
+	for _, id := range r.checkedParts() {
+		if len(q.ran) >= maxKnownParts {
+			clear(q.ran)
+		}
+		q.ran[id] = true
+		changed = q.clear(now, Suspect{Part: id}) || changed
+	}
+	if !changed {
+		return nil
+	}
+	return q.decide(now)
+}
+
+// RecordCompleted records that the request ran to its end, so it does not crash servers. It must also be
+// given to RecordBegun.
+func (q *Quarantine) RecordCompleted(now time.Time, r Request) []Change {
+	if !q.clear(now, Suspect{Request: r.Digest}) {
+		return nil
+	}
+	return q.decide(now)
+}
+
+// clear clears all accusations of a suspect, and reports whether there was one that was not cleared.
+func (q *Quarantine) clear(now time.Time, s Suspect) bool {
+	changed := false
+	if l := q.listed[s]; l != nil && !l.disproved {
+		l.disproved, changed = true, true
+	}
+	rec := q.records[s]
+	if rec == nil {
+		return changed
+	}
+	for _, a := range rec.accusations {
+		if !a.cleared {
+			a.cleared, a.changedAt, a.own, a.zone = true, now, true, true
+			changed = true
+		}
+	}
+	return changed
+}
+
+// accuse adds an accusation, or what a report of a known one adds to it, and reports whether anything is new.
+func (q *Quarantine) accuse(now time.Time, s Suspect, c Crash, r Report, own, zone bool) bool {
+	rec := q.records[s]
+	if rec == nil {
+		q.makeRoom(now)
+		rec = &record{accusations: map[Crash]*accusation{}}
+		q.records[s] = rec
+	}
+	rec.depth = max(rec.depth, r.Depth)
+	a := rec.accusations[c]
+	changed := false
+	if a == nil {
+		rec.makeRoom()
+		a = &accusation{at: r.At, request: r.Request, own: own, zone: zone}
+		rec.accusations[c] = a
+		changed = true
+	}
+	if r.At.Before(a.at) {
+		a.at = r.At
+	}
+	if r.Cleared && !a.cleared {
+		a.cleared, changed = true, true
+	}
+	if ranHere := q.ran[s.Part]; (r.RanBefore || ranHere) && !rec.ranBefore {
+		rec.ranBefore, changed = true, true
+		a.own, a.zone = a.own || ranHere, a.zone || ranHere
+	}
+	if changed {
+		a.changedAt, a.own, a.zone = now, a.own || own, a.zone || zone
+	}
+	return changed
+}
+
+// makeRoom drops what has expired and, if there are still maxSuspects, one that is accused least.
+func (q *Quarantine) makeRoom(now time.Time) {
+	if len(q.records) < maxSuspects {
+		return
+	}
+	q.expire(now)
+	if len(q.records) < maxSuspects {
+		return
+	}
+	var least Suspect
+	fewest := maxAccusations + 1
+	for s, rec := range q.records {
+		if n := len(rec.accusations); n < fewest && q.held[s] == nil {
+			least, fewest = s, n
+		}
+	}
+	delete(q.records, least)
+}
+
+// expire drops accusations that count no longer.
+func (q *Quarantine) expire(now time.Time) {
+	for s, rec := range q.records {
+		for c, a := range rec.accusations {
+			if now.Sub(a.at) > accusationTime || a.cleared && now.Sub(a.changedAt) > clearedTime {
+				delete(rec.accusations, c)
+			}
+		}
+		if len(rec.accusations) == 0 {
+			delete(q.records, s)
+		}
+	}
+}
+
+// makeRoom drops the oldest accusation if there are maxAccusations, a cleared one first.
+func (rec *record) makeRoom() {
+	if len(rec.accusations) < maxAccusations {
+		return
+	}
+	var oldest Crash
+	var dropped *accusation
+	for c, a := range rec.accusations {
+		if dropped == nil || a.cleared && !dropped.cleared || a.cleared == dropped.cleared && a.at.Before(dropped.at) {
+			oldest, dropped = c, a
+		}
+	}
+	delete(rec.accusations, oldest)
+}
+
+// Tick drops what has expired. It must be called every few seconds.
+func (q *Quarantine) Tick(now time.Time) []Change {
+	q.expire(now)
+	return q.decide(now)
+}
+
+// decide computes which suspects are held and returns the changes, sorted by suspect.
+func (q *Quarantine) decide(now time.Time) []Change {
+	convicted := q.convicted(now)
+	var changes []Change
+	for s, h := range q.held {
+		if !convicted[s] {
+			delete(q.held, s)
+			changes = append(changes, Change{Hold: *h})
+		}
+	}
+	for s := range convicted {
+		h := q.held[s]
+		began := h == nil
+		if began {
+			h = &Hold{Suspect: s, Since: now}
+			q.held[s] = h
+		}
+		h.Listed, h.Crashes = q.listed[s] != nil, 0
+		if rec := q.records[s]; rec != nil {
+			h.Crashes = len(rec.accusations)
+		}
+		if began {
+			changes = append(changes, Change{Hold: *h, Held: true})
+		}
+	}
+	slices.SortFunc(changes, func(a, b Change) int { return compareSuspects(a.Suspect, b.Suspect) })
+	return changes
+}
--- /dev/null
+++ b/quarantine/quarantine_test.go
@@ -0,0 +1,189 @@
+package quarantine_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"bulrushtally/quarantine"
+)
+
+const contact = 3 * time.Second // within which what is known must bind all routers
+
+// deadlyRequests sends n requests with the deadly part, with sound ones around them, gap apart, and returns how many were held.
+func (f *fleet) deadlyRequests(n int, gap time.Duration) (held int) {
+	for range n {
+		if f.send(f.random.Uint64(), 6, "customer", "rare", deadly) {
+			held++
+		}
+		f.soundRequests(8)
+		f.pass(gap, 100*time.Millisecond, 0.2)
+	}
+	return held
+}
+
+// soundRequests sends n sound requests that share the deadly ones' first part, and returns how many were held.
+func (f *fleet) soundRequests(n int) (held int) {
+	for range n {
+		if f.send(f.random.Uint64(), 0, "customer", fmt.Sprint("subject-", f.random.IntN(40))) {
+			held++
+		}
+	}
+	return held
+}
+
+func TestPartThatCrashesServersIsHeldByAllRoutersAfterFiveCrashes(t *testing.T) {
+	tests := []struct {
+		name    string
+		routers int
+		prepare func(f *fleet)
+	}{
+		{"6 routers", 6, func(*fleet) {}},
+		{"90 routers", 90, func(*fleet) {}},
+		{"one zone cut off", 90, func(f *fleet) { f.cut = 2 }},
+		{"store down", 90, func(f *fleet) { f.storeUp = false }},
+		{"routers that hear no other", 90, func(f *fleet) { f.deaf[3], f.deaf[50] = true, true }},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			for seed := range uint64(max(4, 120/test.routers)) {
+				f := newFleet(seed, test.routers, 3)
+				test.prepare(f)
+				f.soundRequests(300)
+				for f.crashes < 5 && f.deadlyRequests(1, 700*time.Millisecond) == 0 {
+				}
+				f.pass(contact, 100*time.Millisecond, 0.2)
+				before := f.passed
+				f.deadlyRequests(30, 200*time.Millisecond)
+				if got := f.passed - before; got > 3 {
+					t.Errorf("seed %d: got %d requests with the part that reached servers after %d crashes, want at most 3", seed, got, before)
+				}
+				if got := f.soundRequests(200); got > 0 {
+					t.Errorf("seed %d: got %d of 200 sound requests held, want none", seed, got)
+				}
+			}
+		})
+	}
+}
+
+func TestRestartedRoutersHoldWhatTheStoreLists(t *testing.T) {
+	f := newFleet(1, 12, 3)
+	f.deadlyRequests(8, 500*time.Millisecond)
+	for i := range f.routers {
+		f.restart(i)
+	}
+	f.pass(time.Second, 100*time.Millisecond, 0)
+	if got := f.deadlyRequests(20, 100*time.Millisecond); got != 20 {
+		t.Errorf("got %d of 20 requests held after all routers restarted, want all", got)
+	}
+}
+
+func TestRowDeletedByAnOperatorReleasesThePart(t *testing.T) {
+	f := newFleet(1, 12, 3)
+	f.deadlyRequests(8, 500*time.Millisecond)
+	clear(f.table)
+	f.pass(4*time.Second, 100*time.Millisecond, 0)
+	if f.send(1, 0, "customer", "rare", deadly) {
+		t.Error("got a request held after its part's row was deleted, want it sent")
+	}
+	if len(f.table) > 0 {
+		t.Errorf("got %d rows written again without a new crash, want none", len(f.table))
+	}
+}
+
+// All servers end at once, twice: no part is to blame, though all prompts share one and nothing runs in between.
+func TestOutageOfAllServersHoldsNoPart(t *testing.T) {
+	f := newFleet(2, 30, 3)
+	for outage := range 2 {
+		for server := range 40 {
+			c := quarantine.Crash{Server: fmt.Sprint("i-", server), StartedMs: int64(outage + 1)}
+			r := quarantine.Request{Digest: f.random.Uint64(), Parts: []string{"customer", fmt.Sprint("subject-", server%5)}}
+			f.routers[f.random.IntN(30)].RecordCrash(f.now, c, r)
+		}
+		f.pass(2*time.Second, 100*time.Millisecond, 0.2)
+	}
+	if got := f.soundRequests(100); got > 0 {
+		t.Errorf("got %d of 100 requests held after two outages, want none", got)
+	}
+}
+
+func TestFirstPartIsHeldIfItCrashesServersWhateverFollows(t *testing.T) {
+	q := quarantine.New()
+	now := time.Unix(1e9, 0)
+	for n := range 3 {
+		now = now.Add(time.Second)
+		q.RecordCrash(now, quarantine.Crash{Server: "i", StartedMs: int64(n)}, quarantine.Request{Digest: uint64(n + 1), Parts: []string{"first", fmt.Sprint("other-", n)}})
+	}
+	if q.Held(quarantine.Request{Digest: 9, Parts: []string{"first", "new"}}) == nil {
+		t.Error("got a request with the part of three crashes not held, want it held")
+	}
+	if q.Held(quarantine.Request{Digest: 9, Parts: []string{"other-1"}}) != nil {
+		t.Error("got a part of one crash held, want it sent")
+	}
+}
+
+func TestRequestThatCrashesServersAgainIsHeldWhicheverRoutersSawIt(t *testing.T) {
+	one, two, three := quarantine.New(), quarantine.New(), quarantine.New()
+	now := time.Unix(1e9, 0)
+	r := quarantine.Request{Digest: 7}
+	one.RecordCrash(now, quarantine.Crash{Server: "a", StartedMs: 1}, r)
+	three.RecordCrash(now.Add(-time.Second), quarantine.Crash{Server: "b", StartedMs: 0}, r)
+	two.RecordCrash(now.Add(time.Second), quarantine.Crash{Server: "b", StartedMs: 1}, r)
+	three.Merge(now.Add(2*time.Second), one.OwnReports(now.Add(2*time.Second)), true)
+	three.Merge(now.Add(2*time.Second), two.OwnReports(now.Add(2*time.Second)), false)
+	if three.Held(r) == nil {
+		t.Error("got a request of three crashes, each seen by another router, not held")
+	}
+	if one.Held(r) != nil {
+		t.Error("got a request of one crash held, want it sent")
+	}
+}
+
+// A sound request that is sent again after a crash may meet another one: the part that explains both is held.
+func TestRequestThatRanBesideTheCauseOfItsCrashesIsNotHeld(t *testing.T) {
+	q := quarantine.New()
+	now := time.Unix(1e9, 0)
+	beside := quarantine.Request{Digest: 100, Parts: []string{"customer"}}
+	for n := range 4 {
+		now = now.Add(time.Second)
+		c := quarantine.Crash{Server: "i", StartedMs: int64(n)}
+		q.RecordCrash(now, c, quarantine.Request{Digest: uint64(n + 1), Parts: []string{"customer", deadly}})
+		if n > 1 {
+			q.RecordCrash(now, c, beside)
+		}
+	}
+	if h := q.Held(beside); h != nil {
+		t.Errorf("got %v held, want the request sent", h.Suspect)
+	}
+	if q.Held(quarantine.Request{Digest: 200, Parts: []string{deadly}}) == nil {
+		t.Error("got the part of four crashes not held, want it held")
+	}
+}
+
+func TestCrashReportedBySeveralRoutersCountsOnce(t *testing.T) {
+	q := quarantine.New()
+	now := time.Unix(1e9, 0)
+	r := quarantine.Request{Digest: 7, Parts: []string{"part"}}
+	for range 5 {
+		q.RecordCrash(now, quarantine.Crash{Server: "a", StartedMs: 1}, r)
+		other := quarantine.New()
+		other.RecordCrash(now, quarantine.Crash{Server: "a", StartedMs: 1}, r)
+		q.Merge(now.Add(time.Second), other.OwnReports(now.Add(time.Second)), true)
+	}
+	if h := q.Held(r); h != nil {
+		t.Errorf("got %q held after one crash, want nothing held", h.Suspect)
+	}
+}
+
+func TestSuspectKeysAreParsed(t *testing.T) {
+	for _, s := range []quarantine.Suspect{{Part: "a05928d8452a"}, {Request: 0xfeed}} {
+		if got, err := quarantine.ParseSuspect(s.String()); err != nil || got != s {
+			t.Errorf("got %v, %v for %q, want %v", got, err, s, s)
+		}
+	}
+	for _, key := range []string{"", "part/", "request/0", "request/x", "other/1"} {
+		if got, err := quarantine.ParseSuspect(key); err == nil {
+			t.Errorf("got %v for %q, want an error", got, key)
+		}
+	}
+}
--- /dev/null
+++ b/quarantine/report.go
@@ -0,0 +1,181 @@
+package quarantine
+
+// This file defines what routers tell each other about suspects, and the suspects in the store's table.
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+// Report is an accusation as one router tells it to others.
+type Report struct {
+	_         struct{} `cbor:",toarray"`
+	Suspect   Suspect
+	Crash     Crash
+	Age       time.Duration // since the crash was first seen
+	Request   uint64        // digest of the request that crashed the server, if the suspect is the cause
+	Depth     int           // position of the suspect in its prompts
+	RanBefore bool          // an answer on the suspect began before
+	Cleared   bool          // an answer on the suspect began after the crash
+
+	At time.Time `cbor:"-"` // Age as a time of this router's clock
+}
+
+// Limits of reports.
+const (
+	repeatTime = 3 * time.Second // how long a change is repeated, so that later reports compensate for lost ones
+	maxReports = 200             // in one message
+)
+
+// OwnReports returns what this router has to tell the others: what it changed lately, and all about what
+// is held.
+func (q *Quarantine) OwnReports(now time.Time) []Report {
+	return q.reports(now, func(a *accusation) bool { return a.own })
+}
+
+// ZoneReports returns what the zone of this router has to tell the other zones.
+func (q *Quarantine) ZoneReports(now time.Time) []Report {
+	return q.reports(now, func(a *accusation) bool { return a.zone })
+}
+
+// reports returns the accusations of held suspects, and those that were changed within repeatTime and are
+// told; at most maxReports, the ones that matter most first.
+func (q *Quarantine) reports(now time.Time, told func(*accusation) bool) []Report {
+	var list []Report
+	for s, rec := range q.records {
+		held := q.held[s] != nil
+		for c, a := range rec.accusations {
+			if !held && (now.Sub(a.changedAt) > repeatTime || !told(a)) {
+				continue
+			}
+			list = append(list, Report{Suspect: s, Crash: c, Age: now.Sub(a.at), Request: a.request, Depth: rec.depth, RanBefore: rec.ranBefore, Cleared: a.cleared})
+		}
+	}
+	if len(list) > maxReports {
+		slices.SortFunc(list, func(a, b Report) int { return cmp.Compare(q.weight(b), q.weight(a)) })
+		list = list[:maxReports]
+	}
+	return list
+}
+
+// weight returns how much a report matters: those of what is held, then of what is accused most and
+// not cleared.
+func (q *Quarantine) weight(r Report) int {
+	switch {
+	case q.held[r.Suspect] != nil:
+		return 2 * maxAccusations
+	case r.Cleared:
+		return 0
+	}
+	n := len(q.records[r.Suspect].accusations)
+	if !r.RanBefore {
+		n += maxAccusations / 2
+	}
+	return n
+}
+
+// Merge records what another router or zone reports. sameZone is set if it belongs to this router's zone.
+func (q *Quarantine) Merge(now time.Time, reports []Report, sameZone bool) []Change {
+	changed := false
+	for _, r := range reports {
+		if r.Age > accusationTime || r.Suspect.Part == "" && r.Suspect.Request == 0 {
+			continue
+		}
+		r.At = now.Add(-max(0, r.Age))
+		changed = q.accuse(now, r.Suspect, r.Crash, r, false, sameZone) || changed
+	}
+	if !changed {
+		return nil
+	}
+	return q.decide(now)
+}
+
+// List records that the store's table lists a suspect, which all routers then hold. age is the time since
+// it was listed.
+func (q *Quarantine) List(now time.Time, s Suspect, age time.Duration) []Change {
+	if q.listed[s] == nil {
+		q.listed[s] = &listing{since: now.Add(-max(0, age))}
+	}
+	return q.decide(now)
+}
+
+// Unlist records that the store's table lists a suspect no longer. If an operator released it, the crashes
+// that it was held for count against nothing else either.
+func (q *Quarantine) Unlist(now time.Time, s Suspect) []Change {
+	l := q.listed[s]
+	if l == nil {
+		return nil
+	}
+	delete(q.listed, s)
+	if q.held[s] != nil {
+		q.clearCrashes(now, q.records[s])
+	}
+	return q.decide(now)
+}
+
+// clearCrashes clears all accusations of the crashes that a suspect is accused of. rec may be nil.
+func (q *Quarantine) clearCrashes(now time.Time, rec *record) {
+	if rec == nil {
+		return
+	}
+	for _, other := range q.records {
+		for c, a := range other.accusations {
+			if rec.accusations[c] != nil && !a.cleared {
+				a.cleared, a.changedAt, a.own, a.zone = true, now, true, true
+			}
+		}
+	}
+}
+
+// Listed returns the suspects that the store's table lists.
+func (q *Quarantine) Listed() []Suspect {
+	list := make([]Suspect, 0, len(q.listed))
+	for s := range q.listed {
+		list = append(list, s)
+	}
+	return list
+}
+
+// settleTime is how long a suspect is held before its row is written: other routers' reports of the same crashes
+// may still name a likelier one.
+const settleTime = 300 * time.Millisecond
+
+// Unwritten returns the held suspects that this router is to write to the store's table. Those that saw one
+// of the crashes do so first, and the others after patience, in case these have failed.
+func (q *Quarantine) Unwritten(now time.Time, patience time.Duration) []Hold {
+	var list []Hold
+	for s, h := range q.held {
+		age := now.Sub(h.Since)
+		if q.listed[s] == nil && age >= settleTime && (q.sawCrash(s) || age > patience) {
+			list = append(list, *h)
+		}
+	}
+	return list
+}
+
+// sawCrash reports whether this router accused the suspect itself.
+func (q *Quarantine) sawCrash(s Suspect) bool {
+	rec := q.records[s]
+	if rec == nil {
+		return false
+	}
+	for _, a := range rec.accusations {
+		if a.own {
+			return true
+		}
+	}
+	return false
+}
+
+// Outdated returns the suspects that the store's table lists but that are not to be held: an answer on them
+// began, another one explains the crashes, or HoldTime has passed.
+func (q *Quarantine) Outdated() []Suspect {
+	var list []Suspect
+	for s := range q.listed {
+		if q.held[s] == nil {
+			list = append(list, s)
+		}
+	}
+	return list
+}
--- a/upstream/exchange.go
+++ b/upstream/exchange.go
@@ -11,6 +11,7 @@
 	"strconv"
 	"strings"
 	"sync/atomic"
+	"syscall"
 	"time"
 )
 
@@ -64,6 +65,12 @@
 // Unwrap returns the error of the connection or of the response.
 func (e *ResponseError) Unwrap() error { return e.Err }
 
+// ClosedByServer reports whether err is that the backend server, or its VM, closed the connection before the end of a
+// response, as it does when it crashes. A connection over which nothing comes any more may be cut.
+func ClosedByServer(err error) bool {
+	return errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE)
+}
+
 var (
 	errNoResponse      = errors.New("received only interim responses or responses to other requests")
 	errHeadTooLong     = errors.New("response head is longer than allowed")
