Customers over their share are answered 429, not 503

Callers could not tell from 503 whether the service had no room or their own use was refused.

Change: the refusal over-share has status 429, with the same Retry-After and the same promise that the request has not run.

Test: TestCustomerOverItsShareGets429 failed before (503).

--- a/gateway/overload_test.go
+++ b/gateway/overload_test.go
@@ -102,3 +102,34 @@
 		c.Close()
 	}
 }
+
+// Callers took 503 for a service without capacity, when it was their own use that was refused.
+func TestCustomerOverItsShareGets429(t *testing.T) {
+	s := newTestbed(t, platformtest.Service("models", "stream", 1, map[string]any{"public": true, "engine": map[string]any{"slots": 64, "kv_capacity": 4440000}}))
+	for i := range 4 {
+		s.startServer(fmt.Sprint("i-", i), "models", 2)
+	}
+	s.waitReady()
+	const requests = 20 // at once
+	refused := 0
+	for range 60 {
+		answers := make(chan response, requests)
+		for range requests {
+			go func() { answers <- s.send("POST", "/models/x", "prompt", "Token-Count", "30000,100") }()
+		}
+		for range requests {
+			a := <-answers
+			if !strings.Contains(a.body, `"over-share"`) {
+				continue
+			}
+			refused++
+			if a.status != http.StatusTooManyRequests || a.header.Get("Retry-After") == "" {
+				t.Errorf("got %d with Retry-After %q, want 429 with one", a.status, a.header.Get("Retry-After"))
+			}
+		}
+		if refused > 0 {
+			return
+		}
+	}
+	t.Errorf("got no refusal for want of share; log:\n%s", s.logs)
+}
--- a/ingress/flow.go
+++ b/ingress/flow.go
@@ -331,7 +331,11 @@
 	if ctx.Err() != nil && !x.mayHaveRun {
 		return &result{status: 503, cause: string(placement.Canceled)}
 	}
-	return &result{status: 503, cause: string(r.Reason), retryAfter: r.RetryAfter, servers: r.Rejections, share: r.Share}
+	status := http.StatusServiceUnavailable
+	if r.Reason == placement.OverShare {
+		status = http.StatusTooManyRequests // the customer's own requests are why, not the service
+	}
+	return &result{status: status, cause: string(r.Reason), retryAfter: r.RetryAfter, servers: r.Rejections, share: r.Share}
 }
 
 // finalFailure returns the result of a call after its last failed attempt. Its status is
--- a/ingress/response.go
+++ b/ingress/response.go
@@ -117,6 +117,7 @@
 // remedies tells callers what to do, by status.
 var remedies = map[int]string{
 	http.StatusServiceUnavailable: "the request has not run; send it again after the time in Retry-After",
+	http.StatusTooManyRequests:    "the request has not run, since your requests use up your share; send it again after the time in Retry-After",
 	http.StatusBadGateway:         "the request may have run; send it again only if it may be repeated",
 	http.StatusGatewayTimeout:     "the request may have run; send it again only if it may be repeated",
 	http.StatusNotFound:           "check the host and the path",
@@ -130,7 +131,7 @@
 		body = nil
 	}
 	header := appendHeader(make([]byte, 0, 128), "Content-Type", "application/json")
-	if v.status == http.StatusServiceUnavailable && v.retryAfter > 0 {
+	if v.retryAfter > 0 {
 		header = appendHeader(header, "Retry-After", strconv.FormatFloat(v.retryAfter.Seconds(), 'f', 3, 64))
 	}
 	if w.conn.server != nil && w.conn.server.admission.halfFull() {
