Limits that backend servers name are read, logged and told to other routers

Callers saw a server in need answer more and more slowly while it said how much it takes. Routers read Server-Limit now and tell each other (gossip.Notices, which carries the reports of the quarantine too); an answer without one ends the limit if its request was sent after the newest answer with one, since answers come out of order.

--- a/gateway/fleet.go
+++ b/gateway/fleet.go
@@ -8,9 +8,10 @@
 
 	"bulrushtally/follow"
 	"bulrushtally/gossip"
+	"bulrushtally/ingress"
 	"bulrushtally/placement"
 	"bulrushtally/platform"
-	"bulrushtally/quarantine"
+	"bulrushtally/serverlimit"
 )
 
 var _ gossip.Handler = (*Gateway)(nil)
@@ -53,14 +54,22 @@
 	g.placer.ApplySummary(now, m)
 }
 
-// QuarantineReports returns what this router, or its zone, tells others of what crashes backend servers.
-func (g *Gateway) QuarantineReports(zone bool) []quarantine.Report {
-	return g.suspects.reports(time.Now(), zone)
+// Notices returns what this router, or its zone, tells others of backend servers in trouble.
+func (g *Gateway) Notices(zone bool) *gossip.Notices {
+	now, audience := time.Now(), serverlimit.Zone
+	if zone {
+		audience = serverlimit.OtherZones
+	}
+	return &gossip.Notices{Quarantine: g.suspects.reports(now, zone), Limits: g.placer.LimitReports(now, audience)}
 }
 
-// ApplyQuarantineReports applies the reports of another router or zone.
-func (g *Gateway) ApplyQuarantineReports(reports []quarantine.Report, sameZone bool) {
-	g.suspects.merge(time.Now(), reports, sameZone)
+// ApplyNotices applies the notices of another router or zone.
+func (g *Gateway) ApplyNotices(m *gossip.Notices, sameZone bool) {
+	now := time.Now()
+	g.suspects.merge(now, m.Quarantine, sameZone)
+	for _, c := range g.placer.ApplyLimitReports(now, m.Limits, sameZone) {
+		ingress.LogLimit(g.logger, c)
+	}
 }
 
 // ZoneUpdate returns the recent changes of the store, for the other routers of the zone. It
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -250,7 +250,7 @@
 	links.Go("gossip", g.gossip.Run)
 	links.Go("register", g.register)
 	links.Go("dispatch", g.dispatch)
-	links.Go("clean", g.closeExpiredConns)
+	links.Go("clean", g.clean)
 	links.Go("metrics", g.serveMetrics)
 	go g.readyServer.Serve(g.readyListener)
 	serving := root.Subtree("serving")
@@ -345,9 +345,10 @@
 	}
 }
 
-// closeExpiredConns periodically closes expired connections to backend servers, and all
-// idle ones when the context ends.
-func (g *Gateway) closeExpiredConns(ctx context.Context) error {
+// clean periodically closes expired connections to backend servers, and all idle ones when the
+// context ends. It also measures how many backend servers name a limit.
+func (g *Gateway) clean(ctx context.Context) error {
+	limited := g.metrics.Gauge("limited_servers")
 	t := time.NewTicker(closeExpiredPeriod)
 	defer t.Stop()
 	for {
@@ -357,6 +358,7 @@
 			return nil
 		case now := <-t.C:
 			g.upstream.CloseExpired(now)
+			limited.Update(float64(g.placer.LimitedServers()))
 		}
 	}
 }
--- a/gossip/gossip.go
+++ b/gossip/gossip.go
@@ -17,7 +17,6 @@
 	"github.com/rs/zerolog"
 
 	"bulrushtally/placement"
-	"bulrushtally/quarantine"
 )
 
 // Timing of summaries.
@@ -43,11 +42,11 @@
 	ZoneUpdate() *ZoneUpdate
 	// ApplyZoneUpdate processes the update of another router of the zone.
 	ApplyZoneUpdate(u *ZoneUpdate)
-	// QuarantineReports returns what this router, or its zone, tells others of what crashes backend servers.
-	QuarantineReports(zone bool) []quarantine.Report
-	// ApplyQuarantineReports processes the reports of another router or zone. sameZone is set if it belongs
-	// to this router's zone.
-	ApplyQuarantineReports(reports []quarantine.Report, sameZone bool)
+	// Notices returns what this router, or its zone, tells others of backend servers in trouble.
+	Notices(zone bool) *Notices
+	// ApplyNotices processes the notices of another router or zone. sameZone is set if it belongs to this
+	// router's zone.
+	ApplyNotices(m *Notices, sameZone bool)
 	// FleetChanged is called in each period with the current state of the fleet.
 	FleetChanged(f Fleet)
 	// RouterUnreachable is called with the name of a sender of summaries when none has come
@@ -171,17 +170,17 @@
 		return due
 	}
 	g.send(append(data, kindSummary), to)
-	g.sendQuarantine(to)
+	g.sendNotices(false, to)
 	return due
 }
 
 // Kinds of datagrams. The last byte of a datagram holds its kind.
 const (
-	kindSummary    = 's'
-	kindUpdate     = 'n'
-	kindZone       = 'z' // zone summary, to be forwarded within the receiver's zone
-	kindForwarded  = 'p' // zone summary that has been forwarded
-	kindQuarantine = 'q'
+	kindSummary   = 's'
+	kindUpdate    = 'n'
+	kindZone      = 'z' // zone summary, to be forwarded within the receiver's zone
+	kindForwarded = 'p' // zone summary that has been forwarded
+	kindNotices   = 'q'
 )
 
 // send sends a datagram to each address.
@@ -218,7 +217,7 @@
 	}
 	if m.sendsZone {
 		g.sendZoneSummary(now, m.forwarders[:min(zoneForwarders, len(m.forwarders))])
-		g.sendZoneQuarantine(now)
+		g.sendNotices(true, g.remoteForwarders(now))
 	}
 	return m.targets
 }
@@ -345,10 +344,10 @@
 		if err = cbor.Unmarshal(data, u); err == nil && u.Router != g.self {
 			g.handler.ApplyZoneUpdate(u)
 		}
-	case kindQuarantine:
-		m := &QuarantineReports{}
+	case kindNotices:
+		m := &Notices{}
 		if err = cbor.Unmarshal(data, m); err == nil {
-			g.handleQuarantine(m)
+			g.handleNotices(m)
 		}
 	default:
 		err = errUnknownKind
--- a/gossip/gossip_test.go
+++ b/gossip/gossip_test.go
@@ -71,19 +71,19 @@
 
 func (r *recordingHandler) ApplyZoneUpdate(*gossip.ZoneUpdate) {}
 
-func (r *recordingHandler) QuarantineReports(zone bool) []quarantine.Report {
+func (r *recordingHandler) Notices(zone bool) *gossip.Notices {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if zone {
-		return r.quarantine.ZoneReports(time.Now())
+		return &gossip.Notices{Quarantine: r.quarantine.ZoneReports(time.Now())}
 	}
-	return r.quarantine.OwnReports(time.Now())
+	return &gossip.Notices{Quarantine: r.quarantine.OwnReports(time.Now())}
 }
 
-func (r *recordingHandler) ApplyQuarantineReports(reports []quarantine.Report, sameZone bool) {
+func (r *recordingHandler) ApplyNotices(m *gossip.Notices, sameZone bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.quarantine.Merge(time.Now(), reports, sameZone)
+	r.quarantine.Merge(time.Now(), m.Quarantine, sameZone)
 }
 
 func (r *recordingHandler) FleetChanged(f gossip.Fleet) {
--- a/ingress/attempt.go
+++ b/ingress/attempt.go
@@ -49,7 +49,11 @@
 func (x *call) send(ctx context.Context, g *placement.Grant) (*upstream.Exchange, error) {
 	r := x.buildRequest(g)
 	r.Abandoned = func() bool { return x.conn.closedByCaller() || x.quarantined() }
-	return x.flow.Upstream.Send(ctx, g.Address(), r)
+	ex, err := x.flow.Upstream.Send(ctx, g.Address(), r)
+	if err == nil {
+		x.flow.logLimit(g.RecordLimit(time.Now(), x.flow.Headers.limitOf(ex.Header())))
+	}
+	return ex, err
 }
 
 // declined reports whether the response states that the backend server has not run the request.
--- a/ingress/headers.go
+++ b/ingress/headers.go
@@ -3,6 +3,7 @@
 // This file defines the header names of a deployment and parses request headers.
 
 import (
+	"math"
 	"net/http"
 	"strconv"
 	"strings"
@@ -29,6 +30,7 @@
 	ExpectedServer   string   // the only backend server that may run the request
 	NotExecuted      string   // set if the backend server did not run the request
 	ResponseSeal     string   // set by a backend server on each of its successful responses
+	ServerLimit      string   // set by a backend server in need: requests per second that it takes from all routers together
 	NotForwarded     []string // further headers of callers that are not forwarded
 }
 
@@ -58,6 +60,18 @@
 	return m
 }
 
+// limitOf returns the limit that a response names in requests per second, or 0 if it names none.
+func (names *HeaderNames) limitOf(h http.Header) float64 {
+	perSecond, err := strconv.ParseFloat(strings.TrimSpace(h.Get(names.ServerLimit)), 64)
+	if err != nil || math.IsNaN(perSecond) || perSecond <= 0 {
+		return 0
+	}
+	return max(leastLimit, perSecond)
+}
+
+// leastLimit replaces lower limits, in requests per second.
+const leastLimit = 0.01
+
 // parseCount returns a number of tokens, or 0 if s is not one.
 func parseCount(s string) int {
 	n, err := strconv.Atoi(strings.TrimSpace(s))
--- a/ingress/log.go
+++ b/ingress/log.go
@@ -6,6 +6,7 @@
 	"strconv"
 	"time"
 
+	"github.com/rs/zerolog"
 	"github.com/uber-go/tally/v4"
 
 	"bulrushtally/placement"
@@ -71,6 +72,19 @@
 	e.Msg("request")
 }
 
+// logLimit logs that the limit of a backend server changed; nothing if c is nil.
+func (f *Flow) logLimit(c *placement.LimitChange) {
+	if c != nil {
+		LogLimit(f.Logger, c)
+	}
+}
+
+// LogLimit logs that the limit of a backend server changed.
+func LogLimit(logger zerolog.Logger, c *placement.LimitChange) {
+	logger.Warn().Str("server", c.Server).Float64("limit_per_s", c.PerSecond).Bool("reported", c.Reported).Dur("limited_for_ms", c.Limited).
+		Dur("answer_age_ms", c.AnswerAge).Msg("server-limit-changed")
+}
+
 // logBroken logs that a backend server broke off, what had come of the response by then, and the
 // parts of the prompt that may be why.
 func (x *call) logBroken(g *placement.Grant, err error) {
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -190,6 +190,7 @@
 		s.cacheFilledAt = time.Time{}
 		s.busyUntil = now
 		s.failures, s.downUntil, s.maybeRestarted = 0, time.Time{}, false
+		s.limit.Forget()
 		s.markCold(now, s.pool.service.ColdTime)
 	}
 	if s.failures > 0 && entry.ColdFor > 0 {
@@ -259,25 +260,6 @@
 	p.routers, p.rank, p.summaryInterval = max(1, n), rank, interval
 }
 
-// withinColdRate reports whether a server can sustain one more request now. The rate of a
-// cold server is split evenly between routers. If it allows fewer requests than there
-// are routers, only the first routers in an order that depends on the server may send one each.
-func (p *Placement) withinColdRate(now time.Time, s *server) bool {
-	if !s.cold(now) {
-		return true
-	}
-	total := p.limits.UsableFraction * (s.pool.service.ColdPerSecond*p.limits.ColdRateFactor + float64(p.limits.ColdRateSlack))
-	quota := int(total / float64(p.routers))
-	if quota == 0 {
-		position := (p.rank + int(mix(1, uint64(s.StartedMs)))%p.routers + p.routers) % p.routers
-		if float64(position) >= total {
-			return false
-		}
-		quota = 1
-	}
-	return s.coldRequests.count(now) < quota
-}
-
 // SetLimits replaces the fleet limits.
 func (p *Placement) SetLimits(l FleetLimits) {
 	p.mu.Lock()
@@ -364,9 +346,7 @@
 	s.prefilling++
 	s.sentAt = now
 	s.kvTokens += req.PromptTokens + req.OutputTokens
-	if s.cold(now) {
-		s.coldRequests.add(now)
-	}
+	s.recordSent(now)
 	if req.PromptTokens > 0 {
 		g.queuedCost = milliseconds(s.prefillWait(now)) / (pl.msPerToken * s.slowdown)
 		s.addPrefill(now, c.prefillCost)
--- a/placement/pool.go
+++ b/placement/pool.go
@@ -206,7 +206,7 @@
 	p, now, req := sr.pool, sr.now, sr.waiter.request
 	rejections := &sr.waiter.rejections
 	switch {
-	case !s.usable(now) || req.wasTried(s.ID) || !p.placement.withinColdRate(now, s):
+	case !s.usable(now) || req.wasTried(s.ID) || !p.placement.withinRates(now, s):
 		rejections.Unusable++
 		return
 	case s.reservedForOther(sr.waiter):
@@ -305,7 +305,7 @@
 	var best candidate
 	found, ties := false, 0
 	for _, s := range p.servers {
-		if !s.usable(now) || req.wasTried(s.ID) || !p.placement.withinColdRate(now, s) {
+		if !s.usable(now) || req.wasTried(s.ID) || !p.placement.withinRates(now, s) {
 			continue
 		}
 		running := s.running
--- a/placement/roles.go
+++ b/placement/roles.go
@@ -101,7 +101,7 @@
 	var best *server
 	lowestLoad := 0.0
 	for _, s := range pl.servers {
-		if s.prefillServer || s == g.server || !s.usable(now) || s.cold(now) {
+		if s.prefillServer || s == g.server || !s.usable(now) || s.cold(now) || !p.withinRates(now, s) {
 			continue
 		}
 		running, tokens := s.load()
@@ -121,6 +121,7 @@
 	}
 	pl.setKVHolder(g.request.Segments, best)
 	best.running++
+	best.recordSent(now)
 	best.kvTokens += g.request.PromptTokens + g.request.OutputTokens
 	return &Grant{
 		placement: p, server: best, request: g.request, customer: g.customer, id: best.ID, startedMs: best.StartedMs, address: best.Address,
--- a/placement/server.go
+++ b/placement/server.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+
+	"bulrushtally/serverlimit"
 )
 
 // ServerEntry is the platform's entry for a backend server.
@@ -66,6 +68,7 @@
 	errorRate    float64     // moving average, 0 to 1
 	errorSamples int         // number of attempts in errorRate
 	coldRequests eventWindow // requests sent while the server was cold
+	limit        serverlimit.Limit
 
 	sentTokens     uint64 // prefill tokens sent by this router, a counter in its summaries
 	zoneSentTokens uint64 // the same for the other routers of its zone, from their summaries
