Routers keep the limits that backend servers name, together

Callers saw a server in need get up to twice what it had said that it takes (LIMIT: 56 requests in 4 s at a limit of 4.2 a second).

Cause: the limit bounds a sum over routers, and no router sees the sum; none read the limit either. Evidence: requests to a limited server went on at the rate of before, from all routers, for as long as it was limited.

Each router has a part of the limit that needs no word from the others: the first routers of an order that all share send, each at an equal part of the rate, never two requests at once. As many send as fit the bound (at a limit of 4 a second 8 of 90). Every send counts: first, again, and as the target of a migration.

--- a/placement/limit.go
+++ b/placement/limit.go
@@ -11,7 +11,7 @@
 
 // withinRates reports whether a server takes one more request from this router now.
 func (p *Placement) withinRates(now time.Time, s *server) bool {
-	return p.withinColdRate(now, s)
+	return p.withinColdRate(now, s) && s.limit.Allows(now, p.order(s))
 }
 
 // order returns this router's place in an order of the routers that is another one for each server.
--- a/placement/owner.go
+++ b/placement/owner.go
@@ -16,7 +16,7 @@
 	var best *server
 	var highest uint64
 	for _, s := range p.servers {
-		if !s.usable(now) || p.disaggregated && s.prefillServer != prefill {
+		if !s.usable(now) || s.limited() || p.disaggregated && s.prefillServer != prefill {
 			continue
 		}
 		if score := mix(key, s.hash); best == nil || score > highest {
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -305,7 +305,7 @@
 		}
 	}
 	maxWait := w.maxWait()
-	if maxWait <= 0 || pl.queueIsFull(w) {
+	if maxWait <= 0 || pl.queueIsFull(w) || pl.unservableUntil(now).After(now.Add(maxWait)) {
 		defer p.mu.Unlock()
 		return nil, p.refusal(now, pl, w)
 	}
