A customer's share and spare capacity are given evenly, not in bursts

Cause: share and spare capacity were each given at 1.5 times their rate. A newcomer with an empty window filled it in 2 to 3 s and, 4 s later, once more, while a customer at one router got its share in bursts, of which six seconds may hold one less.

Change: the pace of spare capacity counts the share too and has no factor; the factor for the share falls from 1.5 to 1 as one router has all of the demand.

Test: TestCustomerThatComesAnewGetsAtMostTwiceWhatAnotherOneGets failed before (1,869,300 tokens beside 904,500 in 6 s; 1,688,400 with the first change).

--- a/placement/placement_test.go
+++ b/placement/placement_test.go
@@ -661,3 +661,43 @@
 		p.Tick(now.Add(time.Duration(i) * 8 * time.Millisecond))
 	}
 }
+
+// A customer that came anew got its share and the spare capacity of a whole window within two seconds, and again four seconds later.
+func TestCustomerThatComesAnewGetsAtMostTwiceWhatAnotherOneGets(t *testing.T) {
+	p := newPlacement(modelServices(false), 1, 1)
+	const output = 10000
+	send := func(customer string) (served int) {
+		req := newRequest(customer, 100)
+		req.OutputTokens = output
+		g, _ := admitWithoutWaiting(p, req)
+		if g == nil {
+			return 0
+		}
+		g.RecordFirstEvent(time.Now())
+		g.End(time.Now(), placement.Done)
+		return 100 + 2*output
+	}
+	const capacity, share = 300000, 300000 / 2 // tokens a second, and of each of two customers
+	began := time.Now()
+	steady, steadyTotal, newcomer := 0, 0, 0
+	for elapsed := time.Duration(0); elapsed < 10*time.Second; elapsed = time.Since(began) {
+		p.RecordArrival(time.Now(), newRequest("steady", 20000))
+		if float64(steadyTotal) < share*elapsed.Seconds() { // it finds no spare capacity at its router
+			n := send("steady")
+			steadyTotal += n
+			if elapsed > 4*time.Second {
+				steady += n
+			}
+		}
+		if elapsed > 4*time.Second {
+			p.RecordArrival(time.Now(), newRequest("newcomer", 20000))
+			if float64(newcomer) < 2*capacity*(elapsed-4*time.Second).Seconds() { // servers begin no more
+				newcomer += send("newcomer")
+			}
+		}
+		time.Sleep(4 * time.Millisecond)
+	}
+	if newcomer > 2*steady || newcomer < steady {
+		t.Errorf("got %d tokens in 6 s served to a customer that came anew, and %d to the other one; want at least as many and at most twice as many", newcomer, steady)
+	}
+}
--- a/placement/share.go
+++ b/placement/share.go
@@ -27,7 +27,8 @@
 	name                        string
 	demand, served, withinShare slidingSum // at this router; see usage
 	remote                      usage      // at the other routers and zones, by their reports
-	sharePace, sparePace        pace       // at which this router gives it its share, and spare capacity
+	sharePace                   pace       // at which this router gives it its share
+	sparePace                   pace       // at which it gets its share and spare capacity, while it takes any of the latter
 }
 
 // usage returns the customer's usage in the window that ends with a bucket, over all routers.
@@ -58,6 +59,7 @@
 	case toShare:
 		c.withinShare.add(bucket, cost)
 		c.sharePace.credit -= cost
+		c.sparePace.credit -= cost
 	case toSpare:
 		c.sparePace.credit -= cost
 	}
@@ -129,7 +131,8 @@
 		c.sharePace.reset(now)
 		return false
 	}
-	return u.withinShare+cost/2 > s.fairShare || !c.sharePace.allows(now, cost, c.part(bucket, cost)*s.fairShare)
+	part := c.part(bucket, cost)
+	return u.withinShare+cost/2 > s.fairShare || !c.sharePace.allows(now, cost, part*s.fairShare, sharePaceFactor(part))
 }
 
 // part returns this router's part of the customer's demand, at least that of a request of the given cost.
@@ -150,8 +153,8 @@
 	bucket := s.bucket(now)
 	servedRatio := c.usage(bucket).served / s.leastServed
 	fraction := max(1-ramp(servedRatio, spareRatioFrom, spareRatioTo), idleSpareFraction*(1-ramp(servedRatio, spareRatioTo, idleSpareRatioTo)))
-	most := idleSpareRatioTo*s.leastServed - s.fairShare
-	if fraction > 0 && !c.sparePace.allows(now, cost, c.part(bucket, cost)*most) {
+	most := idleSpareRatioTo * s.leastServed
+	if fraction > 0 && !c.sparePace.allows(now, cost, c.part(bucket, cost)*most, steadyPaceFactor) {
 		return 0
 	}
 	return fraction
