A stream that ends inside an event, or with its connection before any, is broken off

Callers of streams that may neither resume nor migrate got a response that looked complete, though the model server had broken off: an answer without length and chunks ends with its connection, and a crash closes that too. Only streams whose events are kept until whole noticed.

Change: the router follows where events end in all streams. One that ends inside an event, or without any event where only the connection's end tells, is treated as broken: it resumes if it may, is cut off if not, and counts as a crash.

Test: TestStreamThatEndsWithItsConnectionDoesNotLookCompleteIfBrokenOff failed before (both forms were passed on as complete).

--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -295,6 +295,19 @@
 	}
 }
 
+// Such a stream was passed on as complete.
+func TestStreamThatEndsWithItsConnectionDoesNotLookCompleteIfBrokenOff(t *testing.T) {
+	for _, b := range []platformtest.Behaviour{platformtest.EndInsideEvent, platformtest.EndBeforeEvents} {
+		s := newTestbed(t, platformtest.Service("models", "stream", 1, nil))
+		server := s.startServer("i-1", "models", 12)
+		s.waitReady()
+		server.QueueBehaviours(b)
+		if a := s.send("POST", "/models/x", "prompt"); a.err == nil && a.status == http.StatusOK {
+			t.Errorf("behaviour %d: got a complete response %q, want an error", b, a.body)
+		}
+	}
+}
+
 // An event without end was kept in memory until the request's deadline.
 func TestEndlessEventIsCutOff(t *testing.T) {
 	s := newTestbed(t, platformtest.Service("models", "stream", 1, map[string]any{
--- a/ingress/stream.go
+++ b/ingress/stream.go
@@ -25,6 +25,7 @@
 	readBuffer  []byte
 	events      int           // whole events that backend servers sent
 	afterLF     bool          // the last byte read ends a line
+	inEvent     bool          // an event has begun and not ended
 	chunks      int           // writes of the stream to the caller
 	lastReadAt  time.Time     // time of the last read that returned data
 	maxGap      time.Duration // longest time between two such reads
@@ -56,7 +57,7 @@
 	if s.readBuffer == nil {
 		s.readBuffer = make([]byte, streamReadBytes)
 	}
-	s.partial = s.partial[:0]
+	s.partial, s.inEvent, s.afterLF = s.partial[:0], false, false
 	first := true
 	for {
 		n, err := ex.Read(s.readBuffer)
@@ -100,10 +101,15 @@
 	s := x.stream
 	before := s.events
 	for _, c := range b {
-		if c == '\n' && s.afterLF {
+		if c == '\r' {
+			continue // lines may end in CR LF
+		}
+		endsEvent := c == '\n' && s.afterLF
+		if endsEvent {
 			s.events++
 		}
-		s.afterLF = c == '\n' && !s.afterLF
+		s.inEvent = !endsEvent
+		s.afterLF = c == '\n' && !endsEvent
 	}
 	if before < provenEvents && s.events >= provenEvents {
 		x.flow.Quarantine.RecordBegun(time.Now(), x.suspect)
@@ -287,7 +293,7 @@
 // attempt returns.
 func (x *call) finishStream(g *placement.Grant, ex *upstream.Exchange) (retry bool, v *result) {
 	s := x.stream
-	if s.wholeEvents && len(s.partial) > 0 {
+	if s.inEvent || s.events == 0 && ex.EndsWithConnection() {
 		return x.streamError(context.Background(), g, io.ErrUnexpectedEOF)
 	}
 	x.endGrant(g, placement.Done)
--- a/upstream/exchange.go
+++ b/upstream/exchange.go
@@ -183,6 +183,12 @@
 // Status returns the status code of the response.
 func (x *Exchange) Status() int { return x.response.StatusCode }
 
+// EndsWithConnection reports whether the response has neither a length nor chunks, so that its end looks the same
+// whether it is complete or broken off.
+func (x *Exchange) EndsWithConnection() bool {
+	return x.response.ContentLength < 0 && len(x.response.TransferEncoding) == 0
+}
+
 // Header returns the header of the response.
 func (x *Exchange) Header() http.Header { return x.response.Header }
 
