The row of a part that is not the cause no longer releases the part that is

Change: a router marks such a row (not_the_cause) instead; only an operator's deletion clears the crashes. The age in logs counts from when the store lists a suspect.

Tests: TestRowOfAPartThatIsNotTheCauseReleasesThatPartAlone failed before (the cause was released); TestRouterThatStartsAnewHoldsWhatTheStoreListsUntilItsRowIsDeleted.

--- a/gateway/quarantine_test.go
+++ b/gateway/quarantine_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -57,3 +58,22 @@
 		t.Errorf("got %d servers crashed by, and %d refusals of, 10 requests with a part that crashed %d servers before; want 0 and 10", got, refused, before)
 	}
 }
+
+func TestRouterThatStartsAnewHoldsWhatTheStoreListsUntilItsRowIsDeleted(t *testing.T) {
+	s := newTestbed(t, platformtest.Service("models", "stream", 1, map[string]any{"public": true, "engine": map[string]any{"slots": 8, "kv_capacity": 444000}}))
+	_, crashes := startCrashingServers(s, 2)
+	s.store.Put("quarantine", "part/"+crashingPart, []byte("written by an operator"))
+	s.store.Put("quarantine", "no suspect", []byte("{}"))
+	s.waitReady()
+	held := func(n int) bool { return s.sendPrompt(n, "customer:100,"+crashingPart+":100").status == 503 }
+	if !eventually(5*time.Second, func() bool { return strings.Contains(s.logs.String(), `"quarantined"`) }) || !held(1) || crashes.Load() > 0 {
+		t.Fatalf("got %d crashes by a part that the store lists, want its requests refused; log:\n%s", crashes.Load(), s.logs)
+	}
+	if !strings.Contains(s.logs.String(), `"quarantine-row-refused"`) {
+		t.Error("got no log line about a row that names no suspect")
+	}
+	s.store.Delete("quarantine", "part/"+crashingPart)
+	if !eventually(5*time.Second, func() bool { return !held(2) }) {
+		t.Error("the part is held 5 s after its row was deleted")
+	}
+}
--- a/gateway/suspects.go
+++ b/gateway/suspects.go
@@ -142,6 +142,9 @@
 	VM      string `json:"vm"` // that wrote the row
 	Crashes int    `json:"crashes"`
 	SinceMs int64  `json:"since_ms"` // Unix milliseconds
+
+	// A router found that the suspect is not the cause. Such a row lists nothing; deleting one says nothing either.
+	NotTheCause bool `json:"not_the_cause,omitempty"`
 }
 
 // Reset replaces the suspects that the store's table lists.
@@ -153,7 +156,7 @@
 	s.update("store", func(q *quarantine.Quarantine) (changes []quarantine.Change) {
 		for _, suspect := range q.Listed() {
 			if !listed[suspect.String()] {
-				changes = append(changes, q.Unlist(time.Now(), suspect)...)
+				changes = append(changes, q.Release(time.Now(), suspect)...)
 			}
 		}
 		return changes
@@ -169,24 +172,29 @@
 			s.logger.Warn().Err(err).Uint64("row_version", r.Version).Msg("quarantine-row-refused")
 			continue
 		}
-		if r.Deleted {
-			s.update("store", func(q *quarantine.Quarantine) []quarantine.Change { return q.Unlist(time.Now(), suspect) })
-			continue
-		}
-		var row quarantineRow
-		age := time.Duration(0) // of a row that cannot be read; its key is what counts
-		if json.Unmarshal(r.Value, &row) == nil {
-			age = time.Since(time.UnixMilli(row.SinceMs))
-		}
-		s.update("store", func(q *quarantine.Quarantine) []quarantine.Change { return q.List(time.Now(), suspect, age) })
+		s.update("store", func(q *quarantine.Quarantine) []quarantine.Change { return applyRow(q, time.Now(), suspect, r) })
+	}
+}
+
+// applyRow applies the row of a suspect.
+func applyRow(q *quarantine.Quarantine, now time.Time, suspect quarantine.Suspect, r follow.Row) []quarantine.Change {
+	if r.Deleted {
+		return q.Release(now, suspect)
+	}
+	var row quarantineRow
+	if err := json.Unmarshal(r.Value, &row); err != nil {
+		return q.List(now, suspect, 0) // written by hand; the key is what counts
+	}
+	if row.NotTheCause {
+		return q.Unlist(now, suspect)
 	}
+	return q.List(now, suspect, now.Sub(time.UnixMilli(row.SinceMs)))
 }
 
 // Confirm does nothing: a suspect is held until its row is seen to be gone.
 func (s *suspects) Confirm(_, _ time.Duration) {}
 
-// run writes the rows of suspects that are held, and deletes those of suspects that are not to be, until the
-// context ends.
+// run keeps the store's table until the context ends.
 func (s *suspects) run(ctx context.Context) error {
 	defer close(s.done)
 	t := time.NewTicker(quarantinePeriod)
@@ -202,22 +210,19 @@
 	}
 }
 
-// writeRows writes and deletes rows, each at most once within quarantineRetry.
+// writeRows writes the rows of suspects that are held, marks those of suspects that are not the cause, and deletes
+// those that have lapsed, each at most once within quarantineRetry.
 func (s *suspects) writeRows(now time.Time) {
 	s.mu.Lock()
-	unwritten, outdated := s.quarantine.Unwritten(now, writePatience), s.quarantine.Outdated()
+	unwritten, outdated, lapsed := s.quarantine.Unwritten(now, writePatience), s.quarantine.Outdated(now), s.quarantine.Lapsed(now)
 	s.mu.Unlock()
 	for _, h := range unwritten {
-		if !s.mayTry(now, h.Suspect) {
-			continue
-		}
-		value, err := json.Marshal(quarantineRow{VM: s.vm, Crashes: h.Crashes, SinceMs: time.Now().UnixMilli()})
-		if err == nil {
-			err = s.store.Put(QuarantineTable, h.Suspect.String(), value, quarantineTableCall)
-		}
-		s.logger.Warn().Err(err).Stringer("suspect", h.Suspect).Int("crashes", h.Crashes).Msg("quarantine-row-written")
+		s.writeRow(now, h.Suspect, quarantineRow{VM: s.vm, Crashes: h.Crashes, SinceMs: time.Now().UnixMilli()})
 	}
 	for _, suspect := range outdated {
+		s.writeRow(now, suspect, quarantineRow{VM: s.vm, SinceMs: time.Now().UnixMilli(), NotTheCause: true})
+	}
+	for _, suspect := range lapsed {
 		if s.mayTry(now, suspect) {
 			err := s.store.Remove(QuarantineTable, suspect.String(), quarantineTableCall)
 			s.logger.Warn().Err(err).Stringer("suspect", suspect).Msg("quarantine-row-deleted")
@@ -225,6 +230,18 @@
 	}
 }
 
+// writeRow writes the row of a suspect.
+func (s *suspects) writeRow(now time.Time, suspect quarantine.Suspect, row quarantineRow) {
+	if !s.mayTry(now, suspect) {
+		return
+	}
+	value, err := json.Marshal(row)
+	if err == nil {
+		err = s.store.Put(QuarantineTable, suspect.String(), value, quarantineTableCall)
+	}
+	s.logger.Warn().Err(err).Stringer("suspect", suspect).Int("crashes", row.Crashes).Bool("not_the_cause", row.NotTheCause).Msg("quarantine-row-written")
+}
+
 // mayTry reports whether a suspect's row may be written now, and counts the try.
 func (s *suspects) mayTry(now time.Time, suspect quarantine.Suspect) bool {
 	if now.Sub(s.triedAt[suspect]) < quarantineRetry {
--- a/quarantine/convict.go
+++ b/quarantine/convict.go
@@ -27,7 +27,7 @@
 		}
 	}
 	for s, l := range q.listed {
-		if !l.disproved && now.Sub(l.since) <= HoldTime && !slices.Contains(parts, s) && !slices.Contains(requests, s) {
+		if !l.disproved && !l.lapsed(now) && !slices.Contains(parts, s) && !slices.Contains(requests, s) {
 			convicted[s] = true
 			q.explain(s, explained)
 		}
--- a/quarantine/fleet_test.go
+++ b/quarantine/fleet_test.go
@@ -19,7 +19,7 @@
 	zones   int
 	cut     int // zone that the other zones do not hear, and that does not hear them; -1 if none
 	deaf    map[int]bool
-	table   map[quarantine.Suspect]time.Time
+	table   map[quarantine.Suspect]time.Time // when each was listed; zero for one that a router found not to be the cause
 	storeUp bool
 	crashes int
 	passed  int // requests with the deadly part that reached servers
@@ -106,17 +106,21 @@
 		for _, h := range q.Unwritten(f.now, time.Second) {
 			f.table[h.Suspect] = f.now
 		}
-		for _, s := range q.Outdated() {
-			delete(f.table, s)
+		for _, s := range q.Outdated(f.now) {
+			f.table[s] = time.Time{}
 		}
 	}
 	for _, q := range f.routers {
 		for _, s := range q.Listed() {
 			if _, ok := f.table[s]; !ok {
-				q.Unlist(f.now, s)
+				q.Release(f.now, s)
 			}
 		}
 		for s, since := range f.table {
+			if since.IsZero() {
+				q.Unlist(f.now, s)
+				continue
+			}
 			q.List(f.now, s, f.now.Sub(since))
 		}
 	}
--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -85,7 +85,7 @@
 // Hold is why and since when a suspect is held.
 type Hold struct {
 	Suspect Suspect
-	Since   time.Time // when this router began to hold it
+	Since   time.Time // when this router began to hold it, or the store to list it
 	Crashes int       // that it is accused of, as far as this router knows
 	Listed  bool      // the store's table lists it
 }
@@ -335,7 +335,11 @@
 			h = &Hold{Suspect: s, Since: now}
 			q.held[s] = h
 		}
-		h.Listed, h.Crashes = q.listed[s] != nil, 0
+		l := q.listed[s]
+		if l != nil && l.since.Before(h.Since) {
+			h.Since = l.since
+		}
+		h.Listed, h.Crashes = l != nil, 0
 		if rec := q.records[s]; rec != nil {
 			h.Crashes = len(rec.accusations)
 		}
--- a/quarantine/quarantine_test.go
+++ b/quarantine/quarantine_test.go
@@ -91,6 +91,26 @@
 	}
 }
 
+// Cleared by the row of a part that was found not to be the cause, the crashes no longer held the part that was.
+func TestRowOfAPartThatIsNotTheCauseReleasesThatPartAlone(t *testing.T) {
+	q := quarantine.New()
+	now := time.Unix(1e9, 0)
+	for n := range 3 {
+		now = now.Add(time.Second)
+		parts := []string{"customer", deadly}
+		q.RecordCrash(now, quarantine.Crash{Server: "i", StartedMs: int64(n)}, quarantine.Request{Digest: uint64(n + 1), Parts: parts[n/2:]})
+	}
+	customer := quarantine.Suspect{Part: "customer"}
+	q.List(now, customer, 0)
+	q.Unlist(now, customer)
+	if q.Held(quarantine.Request{Digest: 9, Parts: []string{deadly}}) == nil {
+		t.Error("got the cause released with another part, want it held")
+	}
+	if h := q.Held(quarantine.Request{Digest: 9, Parts: []string{"customer"}}); h != nil {
+		t.Errorf("got %v held, want it released", h.Suspect)
+	}
+}
+
 // All servers end at once, twice: no part is to blame, though all prompts share one and nothing runs in between.
 func TestOutageOfAllServersHoldsNoPart(t *testing.T) {
 	f := newFleet(2, 30, 3)
--- a/quarantine/report.go
+++ b/quarantine/report.go
@@ -100,18 +100,23 @@
 	return q.decide(now)
 }
 
-// Unlist records that the store's table lists a suspect no longer. If an operator released it, the crashes
-// that it was held for count against nothing else either.
+// Unlist records that the store's table lists a suspect no longer, since a router found it not to be
+// the cause.
 func (q *Quarantine) Unlist(now time.Time, s Suspect) []Change {
-	l := q.listed[s]
-	if l == nil {
+	if q.listed[s] == nil {
 		return nil
 	}
 	delete(q.listed, s)
+	return q.decide(now)
+}
+
+// Release records that an operator released a suspect: the crashes that it was held for count against
+// nothing else either.
+func (q *Quarantine) Release(now time.Time, s Suspect) []Change {
 	if q.held[s] != nil {
 		q.clearCrashes(now, q.records[s])
 	}
-	return q.decide(now)
+	return q.Unlist(now, s)
 }
 
 // clearCrashes clears all accusations of the crashes that a suspect is accused of. rec may be nil.
@@ -168,14 +173,27 @@
 	return false
 }
 
-// Outdated returns the suspects that the store's table lists but that are not to be held: an answer on them
-// began, another one explains the crashes, or HoldTime has passed.
-func (q *Quarantine) Outdated() []Suspect {
+// Outdated returns the suspects that the store's table lists though they are not the cause: an answer on them
+// began, or another one explains the crashes.
+func (q *Quarantine) Outdated(now time.Time) []Suspect {
 	var list []Suspect
-	for s := range q.listed {
-		if q.held[s] == nil {
+	for s, l := range q.listed {
+		if q.held[s] == nil && !l.lapsed(now) {
+			list = append(list, s)
+		}
+	}
+	return list
+}
+
+// Lapsed returns the suspects that the store's table has listed for HoldTime.
+func (q *Quarantine) Lapsed(now time.Time) []Suspect {
+	var list []Suspect
+	for s, l := range q.listed {
+		if l.lapsed(now) {
 			list = append(list, s)
 		}
 	}
 	return list
 }
+
+func (l *listing) lapsed(now time.Time) bool { return now.Sub(l.since) > HoldTime }
