--- a/placement/limit.go
+++ b/placement/limit.go
@@ -9,9 +9,10 @@
 	"bulrushtally/serverlimit"
 )
 
-// withinRates reports whether a server takes one more request from this router now.
-func (p *Placement) withinRates(now time.Time, s *server) bool {
-	return p.withinColdRate(now, s) && s.limit.Allows(now, p.order(s))
+// withinLimit reports whether the limit that a server names, if it names one, allows one more request from this
+// router now.
+func (p *Placement) withinLimit(now time.Time, s *server) bool {
+	return s.limit.Allows(now, p.order(s))
 }
 
 // order returns this router's place in an order of the routers that is another one for each server.
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -89,11 +89,12 @@
 
 // Rejections counts the backend servers that were passed over in a search, by reason.
 // Unusable ones are out of service, were tried before, or are cold and at the limit of
-// their rate; Reserved ones are reserved for another request; Full ones have no slot or
-// KV cache left; Busy ones have too much prefill to do.
+// their rate; Limited ones name a limit, of which this router has used its part; Reserved ones
+// are reserved for another request; Full ones have no slot or KV cache left; Busy ones have too
+// much prefill to do.
 type Rejections struct {
-	Unusable, Reserved, Full, Busy int
-	ShortestFirstEvent             time.Duration // shortest expected time to the first event among the busy ones
+	Unusable, Limited, Reserved, Full, Busy int
+	ShortestFirstEvent                      time.Duration // shortest expected time to the first event among the busy ones
 }
 
 // Error returns the reason and the time after which to send the request again.
--- a/placement/pool.go
+++ b/placement/pool.go
@@ -206,9 +206,12 @@
 	p, now, req := sr.pool, sr.now, sr.waiter.request
 	rejections := &sr.waiter.rejections
 	switch {
-	case !s.usable(now) || req.wasTried(s.ID) || !p.placement.withinRates(now, s):
+	case !s.usable(now) || req.wasTried(s.ID) || !p.placement.withinColdRate(now, s):
 		rejections.Unusable++
 		return
+	case !p.placement.withinLimit(now, s):
+		rejections.Limited++
+		return
 	case s.reservedForOther(sr.waiter):
 		rejections.Reserved++
 		return
@@ -305,7 +308,7 @@
 	var best candidate
 	found, ties := false, 0
 	for _, s := range p.servers {
-		if !s.usable(now) || req.wasTried(s.ID) || !p.placement.withinRates(now, s) {
+		if !s.usable(now) || req.wasTried(s.ID) || !p.placement.withinColdRate(now, s) || !p.placement.withinLimit(now, s) {
 			continue
 		}
 		running := s.running
--- a/placement/roles.go
+++ b/placement/roles.go
@@ -101,7 +101,7 @@
 	var best *server
 	lowestLoad := 0.0
 	for _, s := range pl.servers {
-		if s.prefillServer || s == g.server || !s.usable(now) || s.cold(now) || !p.withinRates(now, s) {
+		if s.prefillServer || s == g.server || !s.usable(now) || s.cold(now) || !p.withinLimit(now, s) {
 			continue
 		}
 		running, tokens := s.load()
