Quarantine: why a suspect is held is told once a second, and what identifies a request has its name

Once a second, and only the three accusations that decide, is enough for routers that do not reach the store.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -246,7 +246,7 @@
 	links.Go("operator", g.followers.operator.Run)
 	links.Go("servers", g.followers.servers.Run)
 	links.Go("quarantine", g.followers.quarantine.Run)
-	links.Go("suspects", g.suspects.run)
+	links.Go("quarantine-rows", g.suspects.run)
 	links.Go("gossip", g.gossip.Run)
 	links.Go("register", g.register)
 	links.Go("dispatch", g.dispatch)
--- a/gateway/suspects.go
+++ b/gateway/suspects.go
@@ -20,13 +20,14 @@
 // QuarantineTable is the store's table of the suspects that are held. Operators release one by deleting its row.
 const QuarantineTable = "quarantine"
 
-// Timing of the store's table.
+// Timing and bounds of the store's table.
 const (
-	quarantinePeriod    = 100 * time.Millisecond // between two looks for rows to write
-	writePatience       = 1200 * time.Millisecond
-	quarantineRetry     = 2 * time.Second // until a row that was written, but not listed since, is written again
-	quarantineLongPoll  = 5 * time.Second
-	quarantineTableCall = 700 * time.Millisecond
+	quarantinePeriod      = 100 * time.Millisecond  // between two looks for rows to write
+	quarantinePatience    = 1200 * time.Millisecond // for which a router that saw none of the crashes leaves the row to others
+	quarantineRetry       = 2 * time.Second         // until a row that was written, but not listed since, is written again
+	quarantineLongPoll    = 5 * time.Second
+	quarantineCallTimeout = 700 * time.Millisecond
+	maxTriedRows          = 1024 // rows whose last write is remembered, all forgotten when there are more
 )
 
 // rowWriter writes rows of the store.
@@ -40,8 +41,8 @@
 	logger  zerolog.Logger
 	vm      string
 	store   rowWriter
-	gauge   tally.Gauge
-	accused tally.Counter
+	held    tally.Gauge   // suspects that are held
+	crashes tally.Counter // requests that broke off before an answer to them had begun
 	done    chan struct{}
 
 	mu         sync.Mutex
@@ -57,7 +58,7 @@
 
 func newSuspects(vm string, store rowWriter, metrics tally.Scope, logger zerolog.Logger) *suspects {
 	return &suspects{
-		logger: logger, vm: vm, store: store, gauge: metrics.Gauge("quarantined"), accused: metrics.Counter("crashes_seen"), done: make(chan struct{}),
+		logger: logger, vm: vm, store: store, held: metrics.Gauge("quarantined"), crashes: metrics.Counter("crashes_seen"), done: make(chan struct{}),
 		quarantine: quarantine.New(), triedAt: map[quarantine.Suspect]time.Time{},
 	}
 }
@@ -80,12 +81,12 @@
 			Dur("held_for_ms", time.Since(c.Since)).Msg(message)
 	}
 	if len(changes) > 0 {
-		s.gauge.Update(float64(count))
+		s.held.Update(float64(count))
 	}
 }
 
 // Held returns why a request must not run, or nil if it may.
-func (s *suspects) Held(r quarantine.Request) *quarantine.Hold {
+func (s *suspects) Held(r quarantine.Identity) *quarantine.Hold {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	h := s.quarantine.Held(r)
@@ -97,7 +98,7 @@
 }
 
 // Accused reports whether the request may be the cause of another crash than c.
-func (s *suspects) Accused(r quarantine.Request, c quarantine.Crash) bool {
+func (s *suspects) Accused(r quarantine.Identity, c quarantine.Crash) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return s.quarantine.Accused(r, c)
@@ -105,20 +106,20 @@
 
 // RecordCrash records that a backend server broke off while it ran a request, before an answer to it had
 // begun without harm.
-func (s *suspects) RecordCrash(now time.Time, c quarantine.Crash, r quarantine.Request) {
-	s.accused.Inc(1)
+func (s *suspects) RecordCrash(now time.Time, c quarantine.Crash, r quarantine.Identity) {
+	s.crashes.Inc(1)
 	s.update("own", func(q *quarantine.Quarantine) []quarantine.Change { return q.RecordCrash(now, c, r) })
 }
 
 // RecordBegun records that an answer to a request began, and the server was up afterwards.
-func (s *suspects) RecordBegun(now time.Time, r quarantine.Request) {
+func (s *suspects) RecordBegun(now time.Time, r quarantine.Identity) {
 	if len(r.Parts) > 0 {
 		s.update("own", func(q *quarantine.Quarantine) []quarantine.Change { return q.RecordBegun(now, r) })
 	}
 }
 
 // RecordCompleted records that a request ran to its end.
-func (s *suspects) RecordCompleted(now time.Time, r quarantine.Request) {
+func (s *suspects) RecordCompleted(now time.Time, r quarantine.Identity) {
 	s.update("own", func(q *quarantine.Quarantine) []quarantine.Change { return q.RecordCompleted(now, r) })
 }
 
@@ -214,7 +215,7 @@
 // those that have lapsed, each at most once within quarantineRetry.
 func (s *suspects) writeRows(now time.Time) {
 	s.mu.Lock()
-	unwritten, outdated, lapsed := s.quarantine.Unwritten(now, writePatience), s.quarantine.Outdated(now), s.quarantine.Lapsed(now)
+	unwritten, outdated, lapsed := s.quarantine.Unwritten(now, quarantinePatience), s.quarantine.Outdated(now), s.quarantine.Lapsed(now)
 	s.mu.Unlock()
 	for _, h := range unwritten {
 		s.writeRow(now, h.Suspect, quarantineRow{VM: s.vm, Crashes: h.Crashes, SinceMs: time.Now().UnixMilli()})
@@ -224,7 +225,7 @@
 	}
 	for _, suspect := range lapsed {
 		if s.mayTry(now, suspect) {
-			err := s.store.Remove(QuarantineTable, suspect.String(), quarantineTableCall)
+			err := s.store.Remove(QuarantineTable, suspect.String(), quarantineCallTimeout)
 			s.logger.Warn().Err(err).Stringer("suspect", suspect).Msg("quarantine-row-deleted")
 		}
 	}
@@ -237,7 +238,7 @@
 	}
 	value, err := json.Marshal(row)
 	if err == nil {
-		err = s.store.Put(QuarantineTable, suspect.String(), value, quarantineTableCall)
+		err = s.store.Put(QuarantineTable, suspect.String(), value, quarantineCallTimeout)
 	}
 	s.logger.Warn().Err(err).Stringer("suspect", suspect).Int("crashes", row.Crashes).Bool("not_the_cause", row.NotTheCause).Msg("quarantine-row-written")
 }
@@ -253,6 +254,3 @@
 	s.triedAt[suspect] = now
 	return true
 }
-
-// maxTriedRows bounds suspects.triedAt.
-const maxTriedRows = 1024
--- a/ingress/attempt.go
+++ b/ingress/attempt.go
@@ -102,17 +102,17 @@
 	}
 	q := x.flow.Quarantine
 	c := quarantine.Crash{Server: g.ID(), StartedMs: g.ServerStartedMs()}
-	q.RecordCrash(time.Now(), c, x.suspect)
-	return q.Held(x.suspect) == nil && !q.Accused(x.suspect, c)
+	q.RecordCrash(time.Now(), c, x.identity)
+	return q.Held(x.identity) == nil && !q.Accused(x.identity, c)
 }
 
 // recordCompleted records that the request ran to its end.
 func (x *call) recordCompleted(answered bool) {
 	q, now := x.flow.Quarantine, time.Now()
 	if answered {
-		q.RecordBegun(now, x.suspect)
+		q.RecordBegun(now, x.identity)
 	}
-	q.RecordCompleted(now, x.suspect)
+	q.RecordCompleted(now, x.identity)
 }
 
 // rerunAllowed reports whether the request may run again after a run that failed midway.
--- a/ingress/flow.go
+++ b/ingress/flow.go
@@ -24,16 +24,16 @@
 // Quarantine decides which requests must not run, because they crash the backend servers that run them.
 type Quarantine interface {
 	// Held returns why a request must not run, or nil if it may.
-	Held(r quarantine.Request) *quarantine.Hold
+	Held(r quarantine.Identity) *quarantine.Hold
 	// Accused reports whether the request may be the cause of another crash than c.
-	Accused(r quarantine.Request, c quarantine.Crash) bool
+	Accused(r quarantine.Identity, c quarantine.Crash) bool
 	// RecordCrash records that a backend server broke off while it ran the request, before an answer to it
 	// had begun without harm.
-	RecordCrash(now time.Time, c quarantine.Crash, r quarantine.Request)
+	RecordCrash(now time.Time, c quarantine.Crash, r quarantine.Identity)
 	// RecordBegun records that an answer to the request began, and the server was up afterwards.
-	RecordBegun(now time.Time, r quarantine.Request)
+	RecordBegun(now time.Time, r quarantine.Identity)
 	// RecordCompleted records that the request ran to its end.
-	RecordCompleted(now time.Time, r quarantine.Request)
+	RecordCompleted(now time.Time, r quarantine.Identity)
 }
 
 // Migration describes the KV cache of a request that was stopped for migration.
@@ -106,7 +106,7 @@
 	readTime         time.Duration // from conn.requestBegan until the request was read
 	arrived          time.Time     // when the request was read
 	deadline         time.Time
-	suspect          quarantine.Request
+	identity         quarantine.Identity
 	hold             *quarantine.Hold // why the request must not run, once that was found
 	placementRequest *placement.Request
 	attempts         int  // failed attempts so far, without those on unreachable backend servers
@@ -251,7 +251,7 @@
 	if x.service.ServesModels() {
 		x.placementRequest.PromptTokens, x.placementRequest.OutputTokens, x.placementRequest.Segments = x.meta.promptTokens, x.meta.outputTokens, x.meta.segments
 	}
-	x.suspect = quarantine.Request{Digest: x.computeDigest(), Parts: x.meta.parts}
+	x.identity = quarantine.Identity{Digest: x.computeDigest(), Parts: x.meta.parts}
 	if x.route.Kind == route.Stream {
 		x.stream = newStream(x.route.Resumable, x.http.Header.Get(x.flow.Headers.LastEventID))
 	}
@@ -311,7 +311,7 @@
 // quarantined reports whether the request must not run. It is asked on arrival and again before each
 // send, since the request may have waited, or run elsewhere, meanwhile.
 func (x *call) quarantined() bool {
-	x.hold = x.flow.Quarantine.Held(x.suspect)
+	x.hold = x.flow.Quarantine.Held(x.identity)
 	return x.hold != nil
 }
 
--- a/ingress/stream.go
+++ b/ingress/stream.go
@@ -112,7 +112,7 @@
 		s.afterLF = c == '\n' && !endsEvent
 	}
 	if before < provenEvents && s.events >= provenEvents {
-		x.flow.Quarantine.RecordBegun(time.Now(), x.suspect)
+		x.flow.Quarantine.RecordBegun(time.Now(), x.identity)
 	}
 }
 
--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -64,23 +64,23 @@
 	return Suspect{}, fmt.Errorf("key %q names no suspect; want part/ID or request/DIGEST", key)
 }
 
-// Request is what a router knows of a request that may be quarantined.
-type Request struct {
+// Identity is what a request may be held for.
+type Identity struct {
 	Digest uint64   // of the whole request; its repetitions share it
 	Parts  []string // IDs of the parts of its prompt that other requests may share, in order
 }
 
 // suspects returns what may make the request crash a server.
-func (r Request) suspects() []Suspect {
-	list := []Suspect{{Request: r.Digest}}
-	for _, id := range r.checkedParts() {
+func (i Identity) suspects() []Suspect {
+	list := []Suspect{{Request: i.Digest}}
+	for _, id := range i.checkedParts() {
 		list = append(list, Suspect{Part: id})
 	}
 	return list
 }
 
 // checkedParts returns the first maxPartsChecked parts.
-func (r Request) checkedParts() []string { return r.Parts[:min(len(r.Parts), maxPartsChecked)] }
+func (i Identity) checkedParts() []string { return i.Parts[:min(len(i.Parts), maxPartsChecked)] }
 
 // Hold is why and since when a suspect is held.
 type Hold struct {
@@ -96,23 +96,6 @@
 	Held bool // false if it is held no longer
 }
 
-// accusation is a crash that a suspect may be the cause of.
-type accusation struct {
-	at        time.Time // when the crash was seen first
-	request   uint64    // digest of the request that crashed the server, if the suspect is the cause
-	cleared   bool      // an answer on the suspect has begun since
-	changedAt time.Time
-	own       bool // this router accused or cleared it
-	zone      bool // this router or another one of its zone did
-}
-
-// record is what is known of one suspect.
-type record struct {
-	depth       int  // position in the prompts that contain it; a whole request comes after all parts
-	ranBefore   bool // an answer on it began before, at some router
-	accusations map[Crash]*accusation
-}
-
 // listing is a suspect in the store's table.
 type listing struct {
 	since     time.Time
@@ -125,6 +108,8 @@
 	held    map[Suspect]*Hold
 	listed  map[Suspect]*listing
 	ran     map[string]bool // parts on which an answer began at this router
+
+	holdsToldAt, holdsToldZonesAt time.Time // when the accusations of all held suspects were told last
 }
 
 // New returns an empty Quarantine.
@@ -133,7 +118,7 @@
 }
 
 // Held returns why a request must not run, or nil if it may.
-func (q *Quarantine) Held(r Request) *Hold {
+func (q *Quarantine) Held(r Identity) *Hold {
 	if len(q.held) == 0 {
 		return nil
 	}
@@ -153,7 +138,7 @@
 
 // Accused reports whether the request, or a part of its prompt, is accused of a crash other than c and
 // nothing has cleared it.
-func (q *Quarantine) Accused(r Request, c Crash) bool {
+func (q *Quarantine) Accused(r Identity, c Crash) bool {
 	for _, s := range r.suspects() {
 		if rec := q.records[s]; rec != nil && rec.accusedBeside(c) {
 			return true
@@ -162,18 +147,9 @@
 	return false
 }
 
-func (rec *record) accusedBeside(c Crash) bool {
-	for crash, a := range rec.accusations {
-		if crash != c && !a.cleared {
-			return true
-		}
-	}
-	return false
-}
-
 // RecordCrash records that a backend server crashed while it ran the request, and accuses the request and
 // its parts. It must not be called if an answer to the request had begun and the server was up afterwards.
-func (q *Quarantine) RecordCrash(now time.Time, c Crash, r Request) []Change {
+func (q *Quarantine) RecordCrash(now time.Time, c Crash, r Identity) []Change {
 	for depth, s := range r.suspects() {
 		if len(s.Part) > maxPartIDBytes {
 			continue
@@ -188,7 +164,7 @@
 
 // RecordBegun records that an answer to the request began and its server was up afterwards, so none of the
 // parts crashes servers.
-func (q *Quarantine) RecordBegun(now time.Time, r Request) []Change {
+func (q *Quarantine) RecordBegun(now time.Time, r Identity) []Change {
 	changed := false
 	for _, id := range r.checkedParts() {
 		if len(q.ran) >= maxKnownParts {
@@ -205,113 +181,13 @@
 
 // RecordCompleted records that the request ran to its end, so it does not crash servers. It must also be
 // given to RecordBegun.
-func (q *Quarantine) RecordCompleted(now time.Time, r Request) []Change {
+func (q *Quarantine) RecordCompleted(now time.Time, r Identity) []Change {
 	if !q.clear(now, Suspect{Request: r.Digest}) {
 		return nil
 	}
 	return q.decide(now)
 }
 
-// clear clears all accusations of a suspect, and reports whether there was one that was not cleared.
-func (q *Quarantine) clear(now time.Time, s Suspect) bool {
-	changed := false
-	if l := q.listed[s]; l != nil && !l.disproved {
-		l.disproved, changed = true, true
-	}
-	rec := q.records[s]
-	if rec == nil {
-		return changed
-	}
-	for _, a := range rec.accusations {
-		if !a.cleared {
-			a.cleared, a.changedAt, a.own, a.zone = true, now, true, true
-			changed = true
-		}
-	}
-	return changed
-}
-
-// accuse adds an accusation, or what a report of a known one adds to it, and reports whether anything is new.
-func (q *Quarantine) accuse(now time.Time, s Suspect, c Crash, r Report, own, zone bool) bool {
-	rec := q.records[s]
-	if rec == nil {
-		q.makeRoom(now)
-		rec = &record{accusations: map[Crash]*accusation{}}
-		q.records[s] = rec
-	}
-	rec.depth = max(rec.depth, r.Depth)
-	a := rec.accusations[c]
-	changed := false
-	if a == nil {
-		rec.makeRoom()
-		a = &accusation{at: r.At, request: r.Request, own: own, zone: zone}
-		rec.accusations[c] = a
-		changed = true
-	}
-	if r.At.Before(a.at) {
-		a.at = r.At
-	}
-	if r.Cleared && !a.cleared {
-		a.cleared, changed = true, true
-	}
-	if ranHere := q.ran[s.Part]; (r.RanBefore || ranHere) && !rec.ranBefore {
-		rec.ranBefore, changed = true, true
-		a.own, a.zone = a.own || ranHere, a.zone || ranHere
-	}
-	if changed {
-		a.changedAt, a.own, a.zone = now, a.own || own, a.zone || zone
-	}
-	return changed
-}
-
-// makeRoom drops what has expired and, if there are still maxSuspects, one that is accused least.
-func (q *Quarantine) makeRoom(now time.Time) {
-	if len(q.records) < maxSuspects {
-		return
-	}
-	q.expire(now)
-	if len(q.records) < maxSuspects {
-		return
-	}
-	var least Suspect
-	fewest := maxAccusations + 1
-	for s, rec := range q.records {
-		if n := len(rec.accusations); n < fewest && q.held[s] == nil {
-			least, fewest = s, n
-		}
-	}
-	delete(q.records, least)
-}
-
-// expire drops accusations that count no longer.
-func (q *Quarantine) expire(now time.Time) {
-	for s, rec := range q.records {
-		for c, a := range rec.accusations {
-			if now.Sub(a.at) > accusationTime || a.cleared && now.Sub(a.changedAt) > clearedTime {
-				delete(rec.accusations, c)
-			}
-		}
-		if len(rec.accusations) == 0 {
-			delete(q.records, s)
-		}
-	}
-}
-
-// makeRoom drops the oldest accusation if there are maxAccusations, a cleared one first.
-func (rec *record) makeRoom() {
-	if len(rec.accusations) < maxAccusations {
-		return
-	}
-	var oldest Crash
-	var dropped *accusation
-	for c, a := range rec.accusations {
-		if dropped == nil || a.cleared && !dropped.cleared || a.cleared == dropped.cleared && a.at.Before(dropped.at) {
-			oldest, dropped = c, a
-		}
-	}
-	delete(rec.accusations, oldest)
-}
-
 // Tick drops what has expired. It must be called every few seconds.
 func (q *Quarantine) Tick(now time.Time) []Change {
 	q.expire(now)
--- a/quarantine/report.go
+++ b/quarantine/report.go
@@ -25,28 +25,37 @@
 // Limits of reports.
 const (
 	repeatTime = 3 * time.Second // how long a change is repeated, so that later reports compensate for lost ones
+	holdPeriod = time.Second     // between two tellings of why a suspect is held, to routers that do not reach the store
 	maxReports = 200             // in one message
 )
 
-// OwnReports returns what this router has to tell the others: what it changed lately, and all about what
-// is held.
+// OwnReports returns what this router has to tell the others: what it changed lately, and from time to time
+// why suspects are held.
 func (q *Quarantine) OwnReports(now time.Time) []Report {
-	return q.reports(now, func(a *accusation) bool { return a.own })
+	return q.reports(now, &q.holdsToldAt, func(a *accusation) bool { return a.own })
 }
 
 // ZoneReports returns what the zone of this router has to tell the other zones.
 func (q *Quarantine) ZoneReports(now time.Time) []Report {
-	return q.reports(now, func(a *accusation) bool { return a.zone })
+	return q.reports(now, &q.holdsToldZonesAt, func(a *accusation) bool { return a.zone })
 }
 
-// reports returns the accusations of held suspects, and those that were changed within repeatTime and are
-// told; at most maxReports, the ones that matter most first.
-func (q *Quarantine) reports(now time.Time, told func(*accusation) bool) []Report {
+// reports returns the accusations that were changed within repeatTime and are told, and each holdPeriod those
+// that suspects are held for; at most maxReports, the ones that matter most first.
+func (q *Quarantine) reports(now time.Time, holdsToldAt *time.Time, told func(*accusation) bool) []Report {
+	tellHolds := now.Sub(*holdsToldAt) >= holdPeriod
+	if tellHolds {
+		*holdsToldAt = now
+	}
 	var list []Report
 	for s, rec := range q.records {
-		held := q.held[s] != nil
+		var decisive []*accusation
+		if tellHolds && q.held[s] != nil {
+			decisive = rec.counted(now, s.Part != "", nil)
+			decisive = decisive[:min(len(decisive), crashesToHold)]
+		}
 		for c, a := range rec.accusations {
-			if !held && (now.Sub(a.changedAt) > repeatTime || !told(a)) {
+			if changed := now.Sub(a.changedAt) <= repeatTime && told(a); !changed && !slices.Contains(decisive, a) {
 				continue
 			}
 			list = append(list, Report{Suspect: s, Crash: c, Age: now.Sub(a.at), Request: a.request, Depth: rec.depth, RanBefore: rec.ranBefore, Cleared: a.cleared})
--- a/serverlimit/limit.go
+++ b/serverlimit/limit.go
@@ -24,7 +24,8 @@
 
 // Limit is what a router knows of a server's limit. Its zero value is a server that has named none.
 //
-// Invariant: this router's requests to the server, while it is limited, are at least Interval apart.
+// Invariant: while the server is limited, this router's requests to it are at least as long apart as its part of the
+// rate says; see NextAt.
 type Limit struct {
 	perSecond  float64   // requests per second that the server takes from all routers; 0 if it names no limit
 	answeredAt time.Time // when the newest known answer that names a limit, or its end, came
