Fair shares are cut from the capacity that the limits of servers leave

Cause: the share is computed from the configured capacity. Where that exceeds the demand there is no share, and nobody is over it; but the servers took half.

Change: each limited server counts with what its limit takes at the mean cost of the requests that arrive at servers of its kind.

Test: TestLimitsOfServersLowerTheFairShare failed before (600,000 tokens; at most 40,000 wanted).

--- a/placement/limit.go
+++ b/placement/limit.go
@@ -38,14 +38,49 @@
 	return s.coldRequests.count(now) < quota
 }
 
-// recordSent counts a request to a server against its rates.
-func (s *server) recordSent(now time.Time) {
+// recordSent counts a request of a cost that is sent to a server.
+func (s *server) recordSent(now time.Time, cost float64) {
+	if s.pool.arrivalCost == 0 {
+		s.pool.arrivalCost = cost
+	}
+	s.pool.arrivalCost += arrivalCostGain * (cost - s.pool.arrivalCost)
 	if s.cold(now) {
 		s.coldRequests.add(now)
 	}
 	s.limit.Sent(now)
 }
 
+// arrivalCostGain is the weight of one request in pool.arrivalCost.
+const arrivalCostGain = 0.02
+
+// updateAvailable computes, once in a while, which fraction of the capacity the limits of model servers leave. Without
+// it, shares would be cut from a capacity that there is not, and nobody would be over its share.
+func (p *Placement) updateAvailable(now time.Time) {
+	if now.Sub(p.availableAt) < bucketLength {
+		return
+	}
+	p.availableAt = now
+	servers, available := 0, 0.0
+	for _, s := range p.servers {
+		if s.listed && s.pool.service.ServesModels() {
+			servers++
+			available += 1 - s.takenByLimit(p.shares.capacity/float64(max(1, len(s.pool.servers))))
+		}
+	}
+	p.shares.available = 1
+	if servers > 0 {
+		p.shares.available = available / float64(servers)
+	}
+}
+
+// takenByLimit returns which fraction of a server's capacity in cost per second its limit takes away.
+func (s *server) takenByLimit(capacity float64) float64 {
+	if !s.limited() || capacity <= 0 || s.pool.arrivalCost <= 0 {
+		return 0
+	}
+	return max(0, 1-s.limit.PerSecond()*s.pool.arrivalCost/capacity)
+}
+
 // LimitChange is a change of the limit that a backend server names.
 type LimitChange struct {
 	Server    string
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -124,6 +124,7 @@
 	outOfService    map[string]bool    // by availability zone
 	shares          *shares
 	peers           map[string]*peerState // by router
+	availableAt     time.Time             // last update of shares.available
 }
 
 // New returns a Placement without services and backend servers.
@@ -347,7 +348,7 @@
 	s.prefilling++
 	s.sentAt = now
 	s.kvTokens += req.PromptTokens + req.OutputTokens
-	s.recordSent(now)
+	s.recordSent(now, req.cost())
 	if req.PromptTokens > 0 {
 		g.queuedCost = milliseconds(s.prefillWait(now)) / (pl.msPerToken * s.slowdown)
 		s.addPrefill(now, c.prefillCost)
--- a/placement/placement_test.go
+++ b/placement/placement_test.go
@@ -701,3 +701,28 @@
 		t.Errorf("got %d tokens in 6 s served to a customer that came anew, and %d to the other one; want at least as many and at most twice as many", newcomer, steady)
 	}
 }
+
+// Shares were cut from the configured capacity while servers took a tenth of it, so a customer got what its requests happened to meet.
+func TestLimitsOfServersLowerTheFairShare(t *testing.T) {
+	p := newPlacement(modelServices(false), 1, 2)
+	send := func(customer string) *placement.Refusal {
+		p.RecordArrival(time.Now(), newRequest(customer, 20000))
+		g, r := admitWithoutWaiting(p, newRequest(customer, 20000))
+		if g != nil {
+			g.RecordLimit(time.Now(), 0.5)
+			g.RecordFirstEvent(time.Now())
+			g.End(time.Now(), placement.Done)
+		}
+		return r
+	}
+	for n := range 20 { // 0.8 M tokens in a window that has room for 1.2 M without the limits
+		send([]string{"one", "other"}[n%2])
+		send([]string{"one", "other"}[n%2])
+		time.Sleep(50 * time.Millisecond)
+		p.Tick(time.Now())
+	}
+	const most = 2 * 0.5 * 20000 * 4 / 2 // of what two servers take in a window of 4 s
+	if got := shareState(t, p, "one").FairShare; got <= 0 || got > most*1.1 {
+		t.Errorf("got a fair share of %.0f tokens, want at most %.0f", got, float64(most))
+	}
+}
--- a/placement/pool.go
+++ b/placement/pool.go
@@ -59,6 +59,7 @@
 	waiting       []*waiter
 	dispatchAfter time.Time // no dispatch before
 	retries       retryBudget
+	arrivalCost   float64 // moving average of the cost of the requests that arrive at a server, of which migrated ones bring none; 0 until there was one
 
 	msPerToken        float64               // estimated prefill time of a token
 	baseMs            float64               // estimated time to the first event beyond prefill
--- a/placement/queue.go
+++ b/placement/queue.go
@@ -249,6 +249,7 @@
 func (p *Placement) Tick(now time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.updateAvailable(now)
 	for _, pl := range p.pools {
 		p.dispatch(now, pl)
 	}
--- a/placement/roles.go
+++ b/placement/roles.go
@@ -121,7 +121,7 @@
 	}
 	pl.setKVHolder(g.request.Segments, best)
 	best.running++
-	best.recordSent(now)
+	best.recordSent(now, 0)
 	best.kvTokens += g.request.PromptTokens + g.request.OutputTokens
 	return &Grant{
 		placement: p, server: best, request: g.request, customer: g.customer, id: best.ID, startedMs: best.StartedMs, address: best.Address,
--- a/placement/share.go
+++ b/placement/share.go
@@ -75,6 +75,7 @@
 	reports         map[string]*usageReport // by router, or by zone
 	startedAt       time.Time
 	capacity        float64   // cost per second; 0 if unknown
+	available       float64   // fraction of the capacity that is left by the limits that servers name
 	fairShare       float64   // max-min fair share in cost per window; 0 if capacity exceeds demand
 	leastServed     float64   // served cost of the least-served backlogged customer, and at least fairShare; 0 if no customer is backlogged
 	refreshedBucket int64     // bucket for which fairShare and leastServed were computed
@@ -83,7 +84,7 @@
 
 // newShares returns shares without customers, with buckets counted from now.
 func newShares(now time.Time) *shares {
-	return &shares{customers: map[string]*customer{}, reports: map[string]*usageReport{}, startedAt: now}
+	return &shares{customers: map[string]*customer{}, reports: map[string]*usageReport{}, startedAt: now, available: 1}
 }
 
 // charge returns what a request is charged to that is granted now.
@@ -201,7 +202,7 @@
 			total += d
 		}
 	}
-	left := s.capacity * slidingSpan.Seconds()
+	left := s.available * s.capacity * slidingSpan.Seconds()
 	if total <= left {
 		return
 	}
