--- a/placement/limit.go
+++ b/placement/limit.go
@@ -100,7 +100,6 @@
 	if s.StartedMs != g.startedMs || !s.limit.RecordAnswer(now, g.sentAt, perSecond) {
 		return nil
 	}
-	s.pool.rolesAssignedAt = time.Time{}
 	return s.limitChange(now, false)
 }
 
@@ -131,7 +130,6 @@
 		if s == nil || s.StartedMs != r.StartedMs || !s.limit.Merge(now, r, sameZone) {
 			continue
 		}
-		s.pool.rolesAssignedAt = time.Time{}
 		changes = append(changes, s.limitChange(now, true))
 	}
 	return changes
--- a/placement/owner.go
+++ b/placement/owner.go
@@ -5,9 +5,10 @@
 
 import "time"
 
-// owner returns the usable server that owns a prompt's shared segments, or nil; one that names a limit owns none. It is
+// owner returns the usable server that owns a prompt's shared segments, or nil. It is
 // chosen by rendezvous hashing, so that all routers send such prompts to the same
-// server. In a disaggregated pool, prefill selects between prefill and decode servers.
+// server. A server that names a limit owns none. In a disaggregated pool, prefill selects
+// between prefill and decode servers.
 func (p *pool) owner(now time.Time, segments []Segment, prefill bool) *server {
 	if len(segments) == 0 {
 		return nil
