Comments of the quarantine and of limits, read as a newcomer: what holds, and why rows are marked

What stopped a reader: accusations were said only to grow though they expire, a part explained by another was not mentioned, and nothing said why a router marks a row instead of deleting it.

--- a/gateway/suspects.go
+++ b/gateway/suspects.go
@@ -144,7 +144,8 @@
 	Crashes int    `json:"crashes"`
 	SinceMs int64  `json:"since_ms"` // Unix milliseconds
 
-	// A router found that the suspect is not the cause. Such a row lists nothing; deleting one says nothing either.
+	// A router found that the suspect is not the cause. Such a row lists nothing. The router does not delete it
+	// instead, since that is how operators release a suspect; see quarantine.Quarantine.Release.
 	NotTheCause bool `json:"not_the_cause,omitempty"`
 }
 
--- a/quarantine/accusation.go
+++ b/quarantine/accusation.go
@@ -40,7 +40,8 @@
 	return changed
 }
 
-// accuse adds an accusation, or what a report of a known one adds to it, and reports whether anything is new.
+// accuse adds an accusation of s for the crash c, or what a report of a known one adds to it, and reports
+// whether anything is new. own says that this router accuses, and zone that a router of its zone does.
 func (q *Quarantine) accuse(now time.Time, s Suspect, c Crash, r Report, own, zone bool) bool {
 	rec := q.records[s]
 	if rec == nil {
--- a/quarantine/doc.go
+++ b/quarantine/doc.go
@@ -6,11 +6,14 @@
 // prompts on which no answer had begun, and the whole requests), and tells the others. An accusation
 // is named by its suspect and by the crash, that is, a server and its start: heard again, or from
 // several routers, it is the same one. It is cleared once an answer on the suspect begins
-// anywhere after the crash is known there. Both are sets that only grow, so routers that heard the same
-// decide the same, in whatever order and however often they heard it.
+// anywhere after the crash is known there. Until they expire, accusations are only added and, once
+// cleared, stay so: routers that heard the same decide the same, in whatever order and however
+// often they heard it.
 //
-// A part is held after three crashes by different requests, a whole request after three crashes. If the fleet is split in two, five crashes
-// are at least three on one side; that side writes a row to the platform's store, which both sides follow.
+// A part is held after three crashes by different requests that no other held part explains, a whole
+// request after three crashes. If the fleet is split in two, five crashes are at least three on one
+// side; that side writes a row to the platform's store, which both sides follow. An operator releases
+// a suspect by deleting its row.
 //
 // The package does no I/O and takes the time as an argument.
 package quarantine
--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -103,6 +103,8 @@
 }
 
 // Quarantine is one router's knowledge of suspects. It is not safe for concurrent use.
+//
+// Invariant: held follows from records and listed alone, as of the last method that returned changes.
 type Quarantine struct {
 	records map[Suspect]*record
 	held    map[Suspect]*Hold
@@ -179,8 +181,8 @@
 	return q.decide(now)
 }
 
-// RecordCompleted records that the request ran to its end, so it does not crash servers. It must also be
-// given to RecordBegun.
+// RecordCompleted records that the request ran to its end, so that it does not crash servers as a whole. Whether
+// its parts do not either is for RecordBegun.
 func (q *Quarantine) RecordCompleted(now time.Time, r Identity) []Change {
 	if !q.clear(now, Suspect{Request: r.Digest}) {
 		return nil
--- a/serverlimit/report.go
+++ b/serverlimit/report.go
@@ -41,7 +41,7 @@
 }
 
 // Merge records a report of another router or zone about the server, and reports whether that changes what is
-// known. The newest answer counts.
+// known. The newest answer counts. A limit learned from a report is not told again to those who told it.
 func (l *Limit) Merge(now time.Time, r Report, sameZone bool) (changed bool) {
 	answeredAt := now.Add(-max(0, r.Age))
 	if sameZone && r.PerSecond == l.perSecond {
