--- a/ingress/log.go
+++ b/ingress/log.go
@@ -10,6 +10,7 @@
 	"github.com/uber-go/tally/v4"
 
 	"bulrushtally/placement"
+	"bulrushtally/quarantine"
 )
 
 // flowMetrics are the metrics of a Flow: calls by status and cause, attempts,
@@ -85,10 +86,15 @@
 		Dur("answer_age_ms", c.AnswerAge).Msg("server-limit-changed")
 }
 
-// logBroken logs that a backend server broke off, what had come of the response by then, and the
-// parts of the prompt that may be why.
+// maxLoggedURIBytes is how much of a request's URI is logged.
+const maxLoggedURIBytes = 160
+
+// logBroken logs that a backend server broke off, what had come of the response by then, and what of the
+// request may be why: the whole of it, or a part of its prompt.
 func (x *call) logBroken(g *placement.Grant, err error) {
+	uri := x.http.RequestURI
 	e := x.flow.Logger.Warn().Str("request", x.meta.id).Str("server", g.ID()).Int64("started_unix_ms", g.ServerStartedMs()).
+		Stringer("suspect", quarantine.Suspect{Request: x.identity.Digest}).Str("method", x.http.Method).Str("uri", uri[:min(len(uri), maxLoggedURIBytes)]).
 		Dur("since_sent_ms", time.Since(g.SentAt())).Dur("since_first_bytes_ms", g.SinceFirstEvent(time.Now())).Strs("parts", x.meta.parts)
 	if s := x.stream; s != nil {
 		e = e.Int("chunks", s.chunks).Int("partial_bytes", len(s.partial)).Str("last_event", s.lastID).Bool("whole_events", s.wholeEvents)
