Repetitions of a request without a body are one suspect, and sound requests that break off beside it are served

Cause: computeDigest added the attempt's ID for a request without a body, so each repetition was a suspect of its own, and no number of crashes convicted any. Change: the digest is of method, URI, customer and body, whatever the body. Sound requests share a URI too, and a crash breaks off all that runs on a server; so a whole request that explains crashes takes them off the others, as parts did, and one that has completed before, or is in fewer crashes, is convicted later. Tests failed before: TestRepeatedRequestWithoutABodyThatCrashesServersStopsReachingThem (18 ends by 12 repetitions, at most 4 allowed) and, with the digest alone changed, TestSoundRequestsThatBreakOffBesideADeadlyOneAreNotHeld (2 of 3 cases).

--- a/gateway/quarantine_test.go
+++ b/gateway/quarantine_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"fmt"
+	"net/http"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -20,7 +22,7 @@
 	for i := range count {
 		id := fmt.Sprint("i-", i)
 		b := s.startServer(id, "models", 4)
-		b.CrashOnPart(crashingPart, func() {
+		b.CrashOn(platformtest.HasPart(crashingPart), func() {
 			crashes.Add(1)
 			s.store.Put("servers", id, b.Entry("models", "zone-a", "ready"))
 		})
@@ -77,3 +79,37 @@
 		t.Error("the part is held 5 s after its row was deleted")
 	}
 }
+
+func TestRepeatedRequestWithoutABodyThatCrashesServersStopsReachingThem(t *testing.T) {
+	s := newTestbed(t, platformtest.Service("plain", "read_only", 2, map[string]any{"public": true}))
+	var crashes atomic.Int64
+	for i := range 3 {
+		id := fmt.Sprint("i-", i)
+		b := s.startServer(id, "plain", 0)
+		b.SetWorkTime(20 * time.Millisecond)
+		b.CrashOn(func(r *http.Request) bool { return r.RequestURI == "/plain/x?page=7" }, func() {
+			crashes.Add(1)
+			s.store.Put("servers", id, b.Entry("plain", "zone-a", "ready"))
+		})
+	}
+	s.waitReady()
+	sound := func(n int) response { return s.send("GET", fmt.Sprint("/plain/x?page=", 100+n%4), "") }
+	for n := range 12 {
+		var beside sync.WaitGroup
+		for i := range 4 { // of which each crash breaks off those that run
+			beside.Go(func() { sound(n + i) })
+		}
+		time.Sleep(5 * time.Millisecond)
+		s.send("GET", "/plain/x?page=7", "")
+		beside.Wait()
+		time.Sleep(110 * time.Millisecond)
+	}
+	if got := crashes.Load(); got < 3 || got > 4 {
+		t.Errorf("got %d servers ended by 12 repetitions of a request, want 3, or 4 if one was on its way; log:\n%s", got, s.logs)
+	}
+	for n := range 4 {
+		if got := sound(n); got.status != 200 {
+			t.Errorf("got %d for a sound request that broke off beside it, want 200", got.status)
+		}
+	}
+}
--- a/ingress/attempt.go
+++ b/ingress/attempt.go
@@ -106,10 +106,10 @@
 	return q.Held(x.identity) == nil && !q.Accused(x.identity, c)
 }
 
-// recordCompleted records that the request ran to its end.
-func (x *call) recordCompleted(answered bool) {
+// recordCompleted records that the request ran to its end. begun says whether an answer to it had begun.
+func (x *call) recordCompleted(begun bool) {
 	q, now := x.flow.Quarantine, time.Now()
-	if answered {
+	if begun {
 		q.RecordBegun(now, x.identity)
 	}
 	q.RecordCompleted(now, x.identity)
--- a/ingress/flow.go
+++ b/ingress/flow.go
@@ -257,18 +257,14 @@
 	}
 }
 
-// computeDigest returns a hash of the method, path, customer and body of the request, which
-// repetitions of the request share. Without a body, the hash includes the attempt ID: such
-// requests do not differ otherwise, so only attempts with the same ID share a digest.
+// computeDigest returns a hash of the method, URI, customer and body of the request, which
+// repetitions of the request share.
 func (x *call) computeDigest() uint64 {
 	h := xxhash.New()
 	h.WriteString(x.http.Method)
 	h.WriteString(x.http.RequestURI)
 	h.WriteString("\n" + x.placementRequest.Customer + "\n")
 	h.Write(x.body)
-	if len(x.body) == 0 {
-		h.WriteString(x.meta.id) // each attempt without a body has a digest of its own
-	}
 	return h.Sum64()
 }
 
--- a/quarantine/accusation.go
+++ b/quarantine/accusation.go
@@ -17,7 +17,7 @@
 // record is what is known of one suspect.
 type record struct {
 	depth       int  // position in the prompts that contain it; a whole request comes after all parts
-	ranBefore   bool // an answer on it began before, at some router
+	ranBefore   bool // it ran without harm before, at some router
 	accusations map[Crash]*accusation
 }
 
@@ -64,7 +64,7 @@
 	if r.Cleared && !a.cleared {
 		a.cleared, changed = true, true
 	}
-	if ranHere := q.ran[s.Part]; (r.RanBefore || ranHere) && !rec.ranBefore {
+	if ranHere := q.ranHere(s); (r.RanBefore || ranHere) && !rec.ranBefore {
 		rec.ranBefore, changed = true, true
 		a.own, a.zone = a.own || ranHere, a.zone || ranHere
 	}
--- a/quarantine/convict.go
+++ b/quarantine/convict.go
@@ -10,9 +10,10 @@
 )
 
 // convicted returns the suspects to be held: those that the accusations convict, and those that the store's
-// table lists, unless what this router knows suffices to judge them itself. A crash that one part
-// explains does not count against another one: what each crash breaks off has sound parts, too, and those at
-// the beginning of a customer's prompts are in all of them.
+// table lists, unless what this router knows suffices to judge them itself. A crash that one suspect
+// explains does not count against another one: what each crash breaks off has sound requests and sound parts, too. The
+// parts at the beginning of a customer's prompts are in all of them, and on a service of few servers a sound request may
+// break off beside the cause again and again.
 func (q *Quarantine) convicted(now time.Time) map[Suspect]bool {
 	convicted := map[Suspect]bool{}
 	explained := map[Crash]bool{}
@@ -26,32 +27,34 @@
 			requests = append(requests, s)
 		}
 	}
+	q.convict(now, parts, true, convicted, explained)
+	q.convict(now, requests, false, convicted, explained)
+	return convicted
+}
+
+// convict adds the convicted ones among the accused, which are all parts or all whole requests, and those of that kind that
+// the store's table lists.
+func (q *Quarantine) convict(now time.Time, accused []Suspect, parts bool, convicted map[Suspect]bool, explained map[Crash]bool) {
 	for s, l := range q.listed {
-		if !l.disproved && !l.lapsed(now) && !slices.Contains(parts, s) && !slices.Contains(requests, s) {
+		if (s.Part != "") == parts && !l.disproved && !l.lapsed(now) && !slices.Contains(accused, s) {
 			convicted[s] = true
 			q.explain(s, explained)
 		}
 	}
 	for {
-		s, ok := q.likeliest(now, parts, explained)
+		s, ok := q.likeliest(now, accused, explained)
 		if !ok {
-			break
+			return
 		}
 		convicted[s] = true
 		q.explain(s, explained)
 	}
-	for _, s := range requests {
-		if len(q.records[s].counted(now, false, explained)) >= crashesToHold {
-			convicted[s] = true
-		}
-	}
-	return convicted
 }
 
-// explain adds the crashes that a convicted part is accused of, which it explains for other parts.
+// explain adds the crashes that a convicted suspect is accused of, which it explains for others.
 func (q *Quarantine) explain(s Suspect, explained map[Crash]bool) {
 	rec := q.records[s]
-	if rec == nil || s.Part == "" {
+	if rec == nil {
 		return
 	}
 	for c, a := range rec.accusations {
@@ -61,16 +64,16 @@
 	}
 }
 
-// likeliest returns the part to be convicted next, and false if the crashes that are not explained
-// convict none. A part on which no answer ever began goes first, then the one with most crashes, then the
+// likeliest returns the suspect to be convicted next, and false if the crashes that are not explained
+// convict none. One that never ran without harm goes first, then the one with most crashes, then the
 // one that comes last in its prompts, which fewest requests share.
-func (q *Quarantine) likeliest(now time.Time, parts []Suspect, explained map[Crash]bool) (Suspect, bool) {
+func (q *Quarantine) likeliest(now time.Time, accused []Suspect, explained map[Crash]bool) (Suspect, bool) {
 	var best Suspect
 	var bestRecord *record
 	bestCrashes := 0
-	for _, s := range parts {
+	for _, s := range accused {
 		rec := q.records[s]
-		crashes := len(rec.counted(now, true, explained))
+		crashes := len(rec.counted(now, s.Part != "", explained))
 		if crashes < crashesToHold {
 			continue
 		}
@@ -81,7 +84,7 @@
 	return best, bestRecord != nil
 }
 
-// goesBefore reports whether part a is convicted before part b.
+// goesBefore reports whether suspect a is convicted before suspect b.
 func goesBefore(a Suspect, ra *record, crashesA int, b Suspect, rb *record, crashesB int) bool {
 	switch {
 	case ra.ranBefore != rb.ranBefore:
@@ -91,7 +94,7 @@
 	case ra.depth != rb.depth:
 		return ra.depth > rb.depth
 	}
-	return a.Part < b.Part
+	return compareSuspects(a, b) < 0
 }
 
 // counted returns the accusations that count: those that are neither cleared, expired nor explained. Of
--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -21,7 +21,7 @@
 	clearedTime     = 10 * time.Second       // how long a cleared accusation is remembered, so that a late report of it changes nothing
 	maxSuspects     = 4096
 	maxAccusations  = 16   // of one suspect
-	maxKnownParts   = 8192 // parts on which an answer began, all forgotten when there are more
+	maxKnownSound   = 8192 // parts on which an answer began, all forgotten when there are more; requests that completed likewise
 	maxPartIDBytes  = 64   // parts with longer IDs are not considered
 	maxPartsChecked = 64   // of one request
 )
@@ -109,14 +109,17 @@
 	records map[Suspect]*record
 	held    map[Suspect]*Hold
 	listed  map[Suspect]*listing
-	ran     map[string]bool // parts on which an answer began at this router
+
+	// What ran at this router without harm.
+	begun     map[string]bool // parts on which an answer began
+	completed map[uint64]bool // digests of whole requests that completed
 
 	holdsToldAt, holdsToldZonesAt time.Time // when the accusations of all held suspects were told last
 }
 
 // New returns an empty Quarantine.
 func New() *Quarantine {
-	return &Quarantine{records: map[Suspect]*record{}, held: map[Suspect]*Hold{}, listed: map[Suspect]*listing{}, ran: map[string]bool{}}
+	return &Quarantine{records: map[Suspect]*record{}, held: map[Suspect]*Hold{}, listed: map[Suspect]*listing{}, begun: map[string]bool{}, completed: map[uint64]bool{}}
 }
 
 // Held returns why a request must not run, or nil if it may.
@@ -159,7 +162,7 @@
 		if s.Part == "" {
 			depth = maxPartsChecked + 1
 		}
-		q.accuse(now, s, c, Report{At: now, Request: r.Digest, Depth: depth, RanBefore: q.ran[s.Part]}, true, true)
+		q.accuse(now, s, c, Report{At: now, Request: r.Digest, Depth: depth, RanBefore: q.ranHere(s)}, true, true)
 	}
 	return q.decide(now)
 }
@@ -169,10 +172,7 @@
 func (q *Quarantine) RecordBegun(now time.Time, r Identity) []Change {
 	changed := false
 	for _, id := range r.checkedParts() {
-		if len(q.ran) >= maxKnownParts {
-			clear(q.ran)
-		}
-		q.ran[id] = true
+		remember(q.begun, id)
 		changed = q.clear(now, Suspect{Part: id}) || changed
 	}
 	if !changed {
@@ -184,12 +184,26 @@
 // RecordCompleted records that the request ran to its end, so that it does not crash servers as a whole. Whether
 // its parts do not either is for RecordBegun.
 func (q *Quarantine) RecordCompleted(now time.Time, r Identity) []Change {
+	remember(q.completed, r.Digest)
 	if !q.clear(now, Suspect{Request: r.Digest}) {
 		return nil
 	}
 	return q.decide(now)
 }
 
+// remember adds an element to a set, which it empties before if there are too many.
+func remember[T comparable](set map[T]bool, element T) {
+	if len(set) >= maxKnownSound {
+		clear(set)
+	}
+	set[element] = true
+}
+
+// ranHere reports whether the suspect ran at this router without harm.
+func (q *Quarantine) ranHere(s Suspect) bool {
+	return s.Part != "" && q.begun[s.Part] || s.Part == "" && q.completed[s.Request]
+}
+
 // Tick drops what has expired. It must be called every few seconds.
 func (q *Quarantine) Tick(now time.Time) []Change {
 	q.expire(now)
--- a/quarantine/quarantine_test.go
+++ b/quarantine/quarantine_test.go
@@ -180,6 +180,42 @@
 	}
 }
 
+// On a service of few servers, what breaks off beside a request that crashes them does so again and again.
+func TestSoundRequestsThatBreakOffBesideADeadlyOneAreNotHeld(t *testing.T) {
+	tests := []struct {
+		name    string
+		crashes int  // of the deadly request
+		shared  int  // of these, the last ones, which broke off the sound request too
+		ranOnce bool // the sound request had completed before
+	}{
+		{"completed before, three crashes shared", 3, 3, true},
+		{"new, three of four crashes shared", 4, 3, false},
+		{"new, two of three crashes shared", 3, 2, false},
+	}
+	for _, test := range tests {
+		q := quarantine.New()
+		now := time.Unix(1e9, 0)
+		deadlyOne, sound := quarantine.Identity{Digest: 300}, quarantine.Identity{Digest: 200}
+		if test.ranOnce {
+			q.RecordCompleted(now, sound)
+		}
+		for n := range test.crashes {
+			now = now.Add(time.Second)
+			c := quarantine.Crash{Server: "i", StartedMs: int64(n)}
+			if n >= test.crashes-test.shared {
+				q.RecordCrash(now, c, sound)
+			}
+			q.RecordCrash(now, c, deadlyOne)
+		}
+		if q.Held(deadlyOne) == nil {
+			t.Errorf("%s: got the request of %d crashes not held", test.name, test.crashes)
+		}
+		if h := q.Held(sound); h != nil {
+			t.Errorf("%s: got the sound request held after %d crashes", test.name, h.Crashes)
+		}
+	}
+}
+
 func TestCrashReportedBySeveralRoutersCountsOnce(t *testing.T) {
 	q := quarantine.New()
 	now := time.Unix(1e9, 0)
--- a/quarantine/report.go
+++ b/quarantine/report.go
@@ -16,7 +16,7 @@
 	Age       time.Duration // since the crash was first seen
 	Request   uint64        // digest of the request that crashed the server, if the suspect is the cause
 	Depth     int           // position of the suspect in its prompts
-	RanBefore bool          // an answer on the suspect began before
+	RanBefore bool          // the suspect ran without harm before
 	Cleared   bool          // an answer on the suspect began after the crash
 
 	At time.Time `cbor:"-"` // Age as a time of this router's clock
