An answer of 500 does not clear a request that crashes servers

A server that fails answers 500 to part of its requests before it runs them; each such answer cleared the deadly request's accusations, so that the count began anew. Test failed before: TestAnswerOf500DoesNotClearARequestThatCrashesServers (6 crashes instead of 3).

--- a/gateway/quarantine_test.go
+++ b/gateway/quarantine_test.go
@@ -113,3 +113,27 @@
 		}
 	}
 }
+
+// A server that fails answers 500 before it runs the request.
+func TestAnswerOf500DoesNotClearARequestThatCrashesServers(t *testing.T) {
+	s := newTestbed(t, platformtest.Service("plain", "non_idempotent", 1, map[string]any{"public": true}))
+	var crashes atomic.Int64
+	b := s.startServer("i-1", "plain", 0)
+	deadly := func(*http.Request) bool { return true }
+	crash := func() {
+		crashes.Add(1)
+		s.store.Put("servers", "i-1", b.Entry("plain", "zone-a", "ready"))
+	}
+	s.waitReady()
+	for range 6 {
+		b.CrashOn(deadly, crash)
+		s.send("POST", "/plain/x", "deadly")
+		time.Sleep(110 * time.Millisecond)
+		b.CrashOn(nil, nil)
+		b.QueueBehaviours(platformtest.FailWith500)
+		s.send("POST", "/plain/x", "deadly")
+	}
+	if got := crashes.Load(); got != 3 {
+		t.Errorf("got %d crashes by a request that is answered 500 in between, want 3; log:\n%s", got, s.logs)
+	}
+}
--- a/ingress/attempt.go
+++ b/ingress/attempt.go
@@ -160,11 +160,11 @@
 	g.RecordFirstEvent(time.Now())
 	failed := ex.Status() >= 500
 	if failed {
-		x.endGrant(g, placement.ServerError)
+		x.endGrant(g, placement.ServerError) // the server may have failed before it ran the request
 	} else {
 		x.endGrant(g, placement.Done)
+		x.recordCompleted(true)
 	}
-	x.recordCompleted(!failed)
 	if failed && x.route.CanRepeat() && x.attempts+1 < x.route.MaxAttempts {
 		if forwarded, v := x.retryServerError(ctx); forwarded {
 			return false, v
