Crashes that one request causes right after the other count, each

A request is sent on at once when its server ends, so three servers may end within 200 ms. A crash whose request was sent after the crash before cannot be part of the same outage. Accusations and reports say for how long the server had had the request. Test failed before: TestRequestThatCrashesServersOneRightAfterTheOtherIsHeldAfterThree (two of three counted). An outage that hits at once still counts once.

--- a/gateway/suspects.go
+++ b/gateway/suspects.go
@@ -104,11 +104,11 @@
 	return s.quarantine.Accused(r, c)
 }
 
-// RecordCrash records that a backend server broke off while it ran a request, before an answer to it had
+// RecordCrash records that a backend server broke off that had a request for a time, before an answer to it had
 // begun without harm.
-func (s *suspects) RecordCrash(now time.Time, c quarantine.Crash, r quarantine.Identity) {
+func (s *suspects) RecordCrash(now time.Time, c quarantine.Crash, had time.Duration, r quarantine.Identity) {
 	s.crashes.Inc(1)
-	s.update("own", func(q *quarantine.Quarantine) []quarantine.Change { return q.RecordCrash(now, c, r) })
+	s.update("own", func(q *quarantine.Quarantine) []quarantine.Change { return q.RecordCrash(now, c, had, r) })
 }
 
 // RecordBegun records that an answer to a request began, and the server was up afterwards.
--- a/gossip/gossip_test.go
+++ b/gossip/gossip_test.go
@@ -222,7 +222,7 @@
 	request := quarantine.Identity{Digest: 9, Parts: []string{"part"}}
 	for i, r := range []*recordingHandler{routers[6], routers[8], routers[10]} { // of zone-a, none of them sends for the zone
 		r.mu.Lock()
-		r.quarantine.RecordCrash(time.Now(), quarantine.Crash{Server: "i", StartedMs: int64(i)}, quarantine.Identity{Digest: uint64(i + 1), Parts: []string{"part"}})
+		r.quarantine.RecordCrash(time.Now(), quarantine.Crash{Server: "i", StartedMs: int64(i)}, 50*time.Millisecond, quarantine.Identity{Digest: uint64(i + 1), Parts: []string{"part"}})
 		r.mu.Unlock()
 		time.Sleep(200 * time.Millisecond)
 	}
--- a/ingress/attempt.go
+++ b/ingress/attempt.go
@@ -102,7 +102,8 @@
 	}
 	q := x.flow.Quarantine
 	c := quarantine.Crash{Server: g.ID(), StartedMs: g.ServerStartedMs()}
-	q.RecordCrash(time.Now(), c, x.identity)
+	now := time.Now()
+	q.RecordCrash(now, c, now.Sub(g.SentAt()), x.identity)
 	return q.Held(x.identity) == nil && !q.Accused(x.identity, c)
 }
 
--- a/ingress/flow.go
+++ b/ingress/flow.go
@@ -27,9 +27,9 @@
 	Held(r quarantine.Identity) *quarantine.Hold
 	// Accused reports whether the request may be the cause of another crash than c.
 	Accused(r quarantine.Identity, c quarantine.Crash) bool
-	// RecordCrash records that a backend server broke off while it ran the request, before an answer to it
+	// RecordCrash records that a backend server broke off that had the request for a time, before an answer to it
 	// had begun without harm.
-	RecordCrash(now time.Time, c quarantine.Crash, r quarantine.Identity)
+	RecordCrash(now time.Time, c quarantine.Crash, had time.Duration, r quarantine.Identity)
 	// RecordBegun records that an answer to the request began, and the server was up afterwards.
 	RecordBegun(now time.Time, r quarantine.Identity)
 	// RecordCompleted records that the request ran to its end.
--- a/quarantine/accusation.go
+++ b/quarantine/accusation.go
@@ -6,9 +6,10 @@
 
 // accusation is a crash that a suspect may be the cause of.
 type accusation struct {
-	at        time.Time // when the crash was seen first
-	request   uint64    // digest of the request that crashed the server, if the suspect is the cause
-	cleared   bool      // an answer on the suspect has begun since
+	at        time.Time     // when the crash was seen first
+	had       time.Duration // for which the server had had the request
+	request   uint64        // digest of the request that crashed the server, if the suspect is the cause
+	cleared   bool          // an answer on the suspect has begun since
 	changedAt time.Time
 	own       bool // this router accused or cleared it
 	zone      bool // this router or another one of its zone did
@@ -54,7 +55,7 @@
 	changed := false
 	if a == nil {
 		rec.makeRoom()
-		a = &accusation{at: r.At, request: r.Request, own: own, zone: zone}
+		a = &accusation{at: r.At, had: r.Had, request: r.Request, own: own, zone: zone}
 		rec.accusations[c] = a
 		changed = true
 	}
--- a/quarantine/convict.go
+++ b/quarantine/convict.go
@@ -98,7 +98,7 @@
 }
 
 // counted returns the accusations that count: those that are neither cleared, expired nor explained. Of
-// crashes within simultaneous one counts, and, if oncePerRequest is set, of those by one request.
+// crashes in one outage one counts, and, if oncePerRequest is set, of those by one request.
 func (rec *record) counted(now time.Time, oncePerRequest bool, explained map[Crash]bool) []*accusation {
 	list := make([]*accusation, 0, len(rec.accusations))
 	for c, a := range rec.accusations {
@@ -109,7 +109,7 @@
 	slices.SortFunc(list, func(a, b *accusation) int { return cmp.Or(a.at.Compare(b.at), cmp.Compare(a.request, b.request)) })
 	counted := list[:0]
 	for _, a := range list {
-		if n := len(counted); n > 0 && a.at.Sub(counted[n-1].at) < simultaneous {
+		if n := len(counted); n > 0 && a.sameOutage(counted[n-1]) {
 			continue
 		}
 		if oncePerRequest && slices.ContainsFunc(counted, func(x *accusation) bool { return x.request == a.request }) {
@@ -120,6 +120,12 @@
 	return counted
 }
 
+// sameOutage reports whether a crash may have the same cause as one before it, whatever that is: it came
+// shortly after, and its request had been sent before.
+func (a *accusation) sameOutage(before *accusation) bool {
+	return a.at.Sub(before.at) < simultaneous && a.at.Add(-a.had).Before(before.at.Add(-reportDelay))
+}
+
 // compareSuspects orders suspects by part, then by request.
 func compareSuspects(a, b Suspect) int {
 	return cmp.Or(strings.Compare(a.Part, b.Part), cmp.Compare(a.Request, b.Request))
--- a/quarantine/fleet_test.go
+++ b/quarantine/fleet_test.go
@@ -64,10 +64,10 @@
 func (f *fleet) crash(via int, r quarantine.Identity, bystanders int) {
 	f.crashes++
 	c := quarantine.Crash{Server: fmt.Sprint("i-", f.crashes%9), StartedMs: int64(f.crashes)}
-	f.routers[via].RecordCrash(f.now, c, r)
+	f.routers[via].RecordCrash(f.now, c, work, r)
 	for range bystanders {
 		sound := quarantine.Identity{Digest: f.random.Uint64(), Parts: []string{"customer", fmt.Sprint("subject-", f.random.IntN(40))}}
-		f.routers[f.random.IntN(len(f.routers))].RecordCrash(f.now, c, sound)
+		f.routers[f.random.IntN(len(f.routers))].RecordCrash(f.now, c, work, sound)
 	}
 }
 
--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -15,7 +15,8 @@
 
 // Times and bounds of a Quarantine.
 const (
-	simultaneous    = 100 * time.Millisecond // crashes within this time are one outage, whatever they have in common
+	simultaneous    = 100 * time.Millisecond // crashes within this time are one outage, unless the later request was sent after the earlier crash
+	reportDelay     = 5 * time.Millisecond   // by which a report may shift the times of a crash
 	accusationTime  = 10 * time.Minute       // how long an accusation counts
 	HoldTime        = time.Hour              // how long a suspect in the store's table is held
 	clearedTime     = 10 * time.Second       // how long a cleared accusation is remembered, so that a late report of it changes nothing
@@ -152,9 +153,9 @@
 	return false
 }
 
-// RecordCrash records that a backend server crashed while it ran the request, and accuses the request and
+// RecordCrash records that a backend server crashed that had the request for a time, and accuses the request and
 // its parts. It must not be called if an answer to the request had begun and the server was up afterwards.
-func (q *Quarantine) RecordCrash(now time.Time, c Crash, r Identity) []Change {
+func (q *Quarantine) RecordCrash(now time.Time, c Crash, had time.Duration, r Identity) []Change {
 	for depth, s := range r.suspects() {
 		if len(s.Part) > maxPartIDBytes {
 			continue
@@ -162,7 +163,7 @@
 		if s.Part == "" {
 			depth = maxPartsChecked + 1
 		}
-		q.accuse(now, s, c, Report{At: now, Request: r.Digest, Depth: depth, RanBefore: q.ranHere(s)}, true, true)
+		q.accuse(now, s, c, Report{At: now, Had: had, Request: r.Digest, Depth: depth, RanBefore: q.ranHere(s)}, true, true)
 	}
 	return q.decide(now)
 }
--- a/quarantine/quarantine_test.go
+++ b/quarantine/quarantine_test.go
@@ -8,6 +8,9 @@
 	"bulrushtally/quarantine"
 )
 
+// work is how long servers have the requests that break off.
+const work = 50 * time.Millisecond
+
 const contact = 3 * time.Second // within which what is known must bind all routers
 
 // deadlyRequests sends n requests with the deadly part, with sound ones around them, gap apart, and returns how many were held.
@@ -98,7 +101,7 @@
 	for n := range 3 {
 		now = now.Add(time.Second)
 		parts := []string{"customer", deadly}
-		q.RecordCrash(now, quarantine.Crash{Server: "i", StartedMs: int64(n)}, quarantine.Identity{Digest: uint64(n + 1), Parts: parts[n/2:]})
+		q.RecordCrash(now, quarantine.Crash{Server: "i", StartedMs: int64(n)}, work, quarantine.Identity{Digest: uint64(n + 1), Parts: parts[n/2:]})
 	}
 	customer := quarantine.Suspect{Part: "customer"}
 	q.List(now, customer, 0)
@@ -118,7 +121,7 @@
 		for server := range 40 {
 			c := quarantine.Crash{Server: fmt.Sprint("i-", server), StartedMs: int64(outage + 1)}
 			r := quarantine.Identity{Digest: f.random.Uint64(), Parts: []string{"customer", fmt.Sprint("subject-", server%5)}}
-			f.routers[f.random.IntN(30)].RecordCrash(f.now, c, r)
+			f.routers[f.random.IntN(30)].RecordCrash(f.now, c, work, r)
 		}
 		f.pass(2*time.Second, 100*time.Millisecond, 0.2)
 	}
@@ -132,7 +135,7 @@
 	now := time.Unix(1e9, 0)
 	for n := range 3 {
 		now = now.Add(time.Second)
-		q.RecordCrash(now, quarantine.Crash{Server: "i", StartedMs: int64(n)}, quarantine.Identity{Digest: uint64(n + 1), Parts: []string{"first", fmt.Sprint("other-", n)}})
+		q.RecordCrash(now, quarantine.Crash{Server: "i", StartedMs: int64(n)}, work, quarantine.Identity{Digest: uint64(n + 1), Parts: []string{"first", fmt.Sprint("other-", n)}})
 	}
 	if q.Held(quarantine.Identity{Digest: 9, Parts: []string{"first", "new"}}) == nil {
 		t.Error("got a request with the part of three crashes not held, want it held")
@@ -146,9 +149,9 @@
 	one, two, three := quarantine.New(), quarantine.New(), quarantine.New()
 	now := time.Unix(1e9, 0)
 	r := quarantine.Identity{Digest: 7}
-	one.RecordCrash(now, quarantine.Crash{Server: "a", StartedMs: 1}, r)
-	three.RecordCrash(now.Add(-time.Second), quarantine.Crash{Server: "b", StartedMs: 0}, r)
-	two.RecordCrash(now.Add(time.Second), quarantine.Crash{Server: "b", StartedMs: 1}, r)
+	one.RecordCrash(now, quarantine.Crash{Server: "a", StartedMs: 1}, work, r)
+	three.RecordCrash(now.Add(-time.Second), quarantine.Crash{Server: "b", StartedMs: 0}, work, r)
+	two.RecordCrash(now.Add(time.Second), quarantine.Crash{Server: "b", StartedMs: 1}, work, r)
 	three.Merge(now.Add(2*time.Second), one.OwnReports(now.Add(2*time.Second)), true)
 	three.Merge(now.Add(2*time.Second), two.OwnReports(now.Add(2*time.Second)), false)
 	if three.Held(r) == nil {
@@ -167,9 +170,9 @@
 	for n := range 4 {
 		now = now.Add(time.Second)
 		c := quarantine.Crash{Server: "i", StartedMs: int64(n)}
-		q.RecordCrash(now, c, quarantine.Identity{Digest: uint64(n + 1), Parts: []string{"customer", deadly}})
+		q.RecordCrash(now, c, work, quarantine.Identity{Digest: uint64(n + 1), Parts: []string{"customer", deadly}})
 		if n > 1 {
-			q.RecordCrash(now, c, beside)
+			q.RecordCrash(now, c, work, beside)
 		}
 	}
 	if h := q.Held(beside); h != nil {
@@ -203,9 +206,9 @@
 			now = now.Add(time.Second)
 			c := quarantine.Crash{Server: "i", StartedMs: int64(n)}
 			if n >= test.crashes-test.shared {
-				q.RecordCrash(now, c, sound)
+				q.RecordCrash(now, c, work, sound)
 			}
-			q.RecordCrash(now, c, deadlyOne)
+			q.RecordCrash(now, c, work, deadlyOne)
 		}
 		if q.Held(deadlyOne) == nil {
 			t.Errorf("%s: got the request of %d crashes not held", test.name, test.crashes)
@@ -216,14 +219,36 @@
 	}
 }
 
+// A request that is sent on at once crashes three servers within the time of one outage.
+func TestRequestThatCrashesServersOneRightAfterTheOtherIsHeldAfterThree(t *testing.T) {
+	one, two := quarantine.New(), quarantine.New()
+	now := time.Unix(1e9, 0)
+	r := quarantine.Identity{Digest: 7}
+	for n := range 3 {
+		now = now.Add(40 * time.Millisecond)
+		one.RecordCrash(now, quarantine.Crash{Server: fmt.Sprint("i-", n)}, 40*time.Millisecond, r)
+	}
+	two.Merge(now, one.OwnReports(now), true)
+	if one.Held(r) == nil || two.Held(r) == nil {
+		t.Error("got a request not held that was sent on twice and crashed three servers")
+	}
+	outage := quarantine.Identity{Digest: 8}
+	for n := range 3 {
+		one.RecordCrash(now.Add(time.Duration(n)*time.Millisecond), quarantine.Crash{Server: fmt.Sprint("j-", n)}, 40*time.Millisecond, outage)
+	}
+	if one.Held(outage) != nil {
+		t.Error("got a request held that three servers had when they ended at once")
+	}
+}
+
 func TestCrashReportedBySeveralRoutersCountsOnce(t *testing.T) {
 	q := quarantine.New()
 	now := time.Unix(1e9, 0)
 	r := quarantine.Identity{Digest: 7, Parts: []string{"part"}}
 	for range 5 {
-		q.RecordCrash(now, quarantine.Crash{Server: "a", StartedMs: 1}, r)
+		q.RecordCrash(now, quarantine.Crash{Server: "a", StartedMs: 1}, work, r)
 		other := quarantine.New()
-		other.RecordCrash(now, quarantine.Crash{Server: "a", StartedMs: 1}, r)
+		other.RecordCrash(now, quarantine.Crash{Server: "a", StartedMs: 1}, work, r)
 		q.Merge(now.Add(time.Second), other.OwnReports(now.Add(time.Second)), true)
 	}
 	if h := q.Held(r); h != nil {
--- a/quarantine/report.go
+++ b/quarantine/report.go
@@ -14,6 +14,7 @@
 	Suspect   Suspect
 	Crash     Crash
 	Age       time.Duration // since the crash was first seen
+	Had       time.Duration // for which the server had had the request by then
 	Request   uint64        // digest of the request that crashed the server, if the suspect is the cause
 	Depth     int           // position of the suspect in its prompts
 	RanBefore bool          // the suspect ran without harm before
@@ -58,7 +59,7 @@
 			if changed := now.Sub(a.changedAt) <= repeatTime && told(a); !changed && !slices.Contains(decisive, a) {
 				continue
 			}
-			list = append(list, Report{Suspect: s, Crash: c, Age: now.Sub(a.at), Request: a.request, Depth: rec.depth, RanBefore: rec.ranBefore, Cleared: a.cleared})
+			list = append(list, Report{Suspect: s, Crash: c, Age: now.Sub(a.at), Had: a.had, Request: a.request, Depth: rec.depth, RanBefore: rec.ranBefore, Cleared: a.cleared})
 		}
 	}
 	if len(list) > maxReports {
