A backend server that says it leaves gets no more requests, from any router, however its entries arrive

Cause: what was believed of a server was its last entry, whole, without the start of the server that it was about. Change: package serverstatus keeps the statement that a server leaves by server and start. An older start changes nothing, a newer one ends it, and it outlives the listing.

--- a/gateway/fleet.go
+++ b/gateway/fleet.go
@@ -12,6 +12,7 @@
 	"bulrushtally/placement"
 	"bulrushtally/platform"
 	"bulrushtally/serverlimit"
+	"bulrushtally/serverstatus"
 )
 
 var _ gossip.Handler = (*Gateway)(nil)
@@ -56,11 +57,11 @@
 
 // Notices returns what this router, or its zone, tells others of backend servers in trouble.
 func (g *Gateway) Notices(zone bool) *gossip.Notices {
-	now, audience := time.Now(), serverlimit.Zone
+	now, ofLimits, ofLeaving := time.Now(), serverlimit.Zone, serverstatus.Zone
 	if zone {
-		audience = serverlimit.OtherZones
+		ofLimits, ofLeaving = serverlimit.OtherZones, serverstatus.OtherZones
 	}
-	return &gossip.Notices{Quarantine: g.suspects.reports(now, zone), Limits: g.placer.LimitReports(now, audience)}
+	return &gossip.Notices{Quarantine: g.suspects.reports(now, zone), Limits: g.placer.LimitReports(now, ofLimits), Leaving: g.placer.LeavingReports(now, ofLeaving)}
 }
 
 // ApplyNotices applies the notices of another router or zone.
@@ -70,6 +71,9 @@
 	for _, c := range g.placer.ApplyLimitReports(now, m.Limits, sameZone) {
 		ingress.LogLimit(g.logger, c)
 	}
+	for _, id := range g.placer.ApplyLeavingReports(now, m.Leaving, sameZone) {
+		g.logger.Info().Str("server", id).Str("from", m.Router).Msg("server-leaving")
+	}
 }
 
 // ZoneUpdate returns the recent changes of the store, for the other routers of the zone. It
--- /dev/null
+++ b/gateway/leaving_test.go
@@ -0,0 +1,83 @@
+package gateway_test
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	"bulrushtally/platform/platformtest"
+)
+
+// gets returns how many of n requests to the service desk a server gets.
+func (s *testbed) gets(b *platformtest.Server, n int) int {
+	s.t.Helper()
+	before := len(b.Received())
+	for range n {
+		s.send("GET", "/desk/x", "")
+	}
+	return len(b.Received()) - before
+}
+
+// waitForRequest waits until a server gets a request.
+func (s *testbed) waitForRequest(b *platformtest.Server) {
+	s.t.Helper()
+	if !eventually(5*time.Second, func() bool { return s.gets(b, 1) > 0 }) {
+		s.t.Fatalf("got no request at server %q in 5 s, want some; log:\n%s", b.ID, s.logs)
+	}
+}
+
+func TestServerThatSaysItLeavesGetsNoMoreRequests(t *testing.T) {
+	s := newTestbed(t, deskService)
+	leaving := s.startServer("i-1", "desk", 0)
+	s.startServer("i-2", "desk", 0)
+	s.waitReady()
+	second := *s
+	second.gateway, second.logs, second.stop = startGateway(t, s.store, "router-2")
+	defer second.stop()
+	second.waitReady()
+	time.Sleep(300 * time.Millisecond) // until the routers have heard of each other
+	leaving.SayLeaving()
+	s.waitForRequest(leaving)
+	if got := s.gets(leaving, 20); got != 0 {
+		t.Errorf("got %d of 20 requests at a server after it had said that it leaves, want 0", got)
+	}
+	time.Sleep(500 * time.Millisecond)
+	if got := second.gets(leaving, 20); got != 0 {
+		t.Errorf("got %d of 20 requests through a router that the server had not told, want 0", got)
+	}
+	leaving.StartAnew()
+	s.store.Put("servers", "i-1", leaving.Entry("desk", "zone-a", "ready"))
+	s.waitForRequest(leaving)
+}
+
+// putEntry writes the entry of a server and waits until the router has read it.
+func (s *testbed) putEntry(b *platformtest.Server, state string) {
+	s.t.Helper()
+	listed := func() int { return strings.Count(s.logs.String(), `"server-listed"`) }
+	before := listed()
+	s.store.Put("servers", b.ID, b.Entry("desk", "zone-a", state))
+	if !eventually(5*time.Second, func() bool { return listed() > before }) {
+		s.t.Fatalf("got no log line of the entry of %q that is %s", b.ID, state)
+	}
+}
+
+// An entry may arrive late, or come from a copy of the store.
+func TestEntryOfTheSameStartDoesNotMakeALeavingServerReadyAgain(t *testing.T) {
+	s := newTestbed(t, deskService)
+	leaving := s.startServer("i-1", "desk", 0)
+	s.startServer("i-2", "desk", 0)
+	s.waitReady()
+	s.putEntry(leaving, "draining")
+	s.putEntry(leaving, "ready")
+	if got := s.gets(leaving, 20); got != 0 {
+		t.Errorf("got %d of 20 requests at a server that leaves, want 0", got)
+	}
+	s.store.Delete("servers", "i-1")
+	if !eventually(5*time.Second, func() bool { return strings.Contains(s.logs.String(), `"server-unlisted"`) }) {
+		t.Fatal("got no log line that the server is not listed any more")
+	}
+	s.putEntry(leaving, "ready")
+	if got := s.gets(leaving, 20); got != 0 {
+		t.Errorf("got %d of 20 requests at a server that leaves and was listed once more, want 0", got)
+	}
+}
--- a/gossip/notices.go
+++ b/gossip/notices.go
@@ -12,9 +12,11 @@
 
 	"bulrushtally/quarantine"
 	"bulrushtally/serverlimit"
+	"bulrushtally/serverstatus"
 )
 
-// Notices is what a router, or a zone, knows of what crashes backend servers, and of the limits that they name.
+// Notices is what a router, or a zone, knows of what crashes backend servers, of the limits that they name and of those
+// that leave.
 type Notices struct {
 	_          struct{} `cbor:",toarray"`
 	Router     string   // that sent them
@@ -22,6 +24,7 @@
 	Forward    bool // they are to be forwarded within the zone of the receiver
 	Quarantine []quarantine.Report
 	Limits     []serverlimit.Report
+	Leaving    []serverstatus.Report
 }
 
 // sendNotices sends this router's notices, or those of its zone, if there are any.
@@ -33,7 +36,7 @@
 
 // sendDatagram sends notices in one datagram, unless they are empty.
 func (g *Gossip) sendDatagram(m *Notices, to []netip.AddrPort) {
-	if len(m.Quarantine)+len(m.Limits) == 0 || len(to) == 0 {
+	if len(m.Quarantine)+len(m.Limits)+len(m.Leaving) == 0 || len(to) == 0 {
 		return
 	}
 	data, err := cbor.Marshal(m)
--- a/ingress/headers.go
+++ b/ingress/headers.go
@@ -31,6 +31,7 @@
 	NotExecuted      string   // set if the backend server did not run the request
 	ResponseSeal     string   // set by a backend server on each of its successful responses
 	ServerLimit      string   // set by a backend server in need: requests per second that it takes from all routers together
+	ServerLeaving    string   // set to 1 by a backend server that leaves
 	NotForwarded     []string // further headers of callers that are not forwarded
 }
 
@@ -60,6 +61,11 @@
 	return m
 }
 
+// statementOf returns what a response says of the backend server that sent it.
+func (names *HeaderNames) statementOf(h http.Header) placement.Statement {
+	return placement.Statement{LimitPerSecond: names.limitOf(h), Leaving: strings.TrimSpace(h.Get(names.ServerLeaving)) == "1"}
+}
+
 // limitOf returns the limit that a response names in requests per second, or 0 if it names none.
 func (names *HeaderNames) limitOf(h http.Header) float64 {
 	perSecond, err := strconv.ParseFloat(strings.TrimSpace(h.Get(names.ServerLimit)), 64)
--- a/ingress/log.go
+++ b/ingress/log.go
@@ -73,10 +73,13 @@
 	e.Msg("request")
 }
 
-// logLimit logs that the limit of a backend server changed; nothing if c is nil.
-func (f *Flow) logLimit(c *placement.LimitChange) {
-	if c != nil {
-		LogLimit(f.Logger, c)
+// logStatement logs what is new in what an answer to a request says of the backend server.
+func (f *Flow) logStatement(request string, g *placement.Grant, c placement.StatementChange) {
+	if c.Limit != nil {
+		LogLimit(f.Logger, c.Limit)
+	}
+	if c.Leaves {
+		f.Logger.Info().Str("server", g.ID()).Int64("started_unix_ms", g.ServerStartedMs()).Str("request", request).Msg("server-leaving")
 	}
 }
 
--- a/placement/limit.go
+++ b/placement/limit.go
@@ -90,19 +90,6 @@
 	Reported  bool          // another router reported it
 }
 
-// RecordLimit records the limit in requests per second that an answer of the backend server names, or 0 if it names
-// none. It returns nil if that changes nothing.
-func (g *Grant) RecordLimit(now time.Time, perSecond float64) *LimitChange {
-	p := g.placement
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	s := g.server
-	if s.StartedMs != g.startedMs || !s.limit.RecordAnswer(now, g.sentAt, perSecond) {
-		return nil
-	}
-	return s.limitChange(now, false)
-}
-
 func (s *server) limitChange(now time.Time, reported bool) *LimitChange {
 	limited, answer := s.limit.Age(now)
 	return &LimitChange{Server: s.ID, PerSecond: s.limit.PerSecond(), Limited: limited, AnswerAge: answer, Reported: reported}
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"bulrushtally/route"
+	"bulrushtally/serverstatus"
 )
 
 // Request describes a request that needs a backend server.
@@ -121,7 +122,8 @@
 	summaryInterval time.Duration      // interval between two summaries of another router
 	pools           map[string]*pool   // by service
 	servers         map[string]*server // by server ID
-	outOfService    map[string]bool    // by availability zone
+	statuses        *serverstatus.Register
+	outOfService    map[string]bool // by availability zone
 	shares          *shares
 	peers           map[string]*peerState // by router
 	availableAt     time.Time             // last update of shares.available
@@ -131,7 +133,7 @@
 func New(o Options) *Placement {
 	return &Placement{
 		zone: o.Zone, limits: o.Limits, routers: max(1, o.Routers), shares: newShares(o.Now),
-		pools: map[string]*pool{}, servers: map[string]*server{}, outOfService: map[string]bool{}, peers: map[string]*peerState{},
+		pools: map[string]*pool{}, servers: map[string]*server{}, statuses: serverstatus.NewRegister(), outOfService: map[string]bool{}, peers: map[string]*peerState{},
 	}
 }
 
@@ -199,6 +201,10 @@
 		s.failures, s.downUntil, s.maybeRestarted = 0, time.Time{}, false
 	}
 	s.ServerEntry, s.listed = entry, true
+	s.status.SetStart(entry.StartedMs)
+	if entry.Draining {
+		s.status.RecordLeaving(now, entry.StartedMs)
+	}
 	if entry.ColdFor > 0 {
 		s.markCold(now, entry.ColdFor)
 	}
--- a/placement/placement_test.go
+++ b/placement/placement_test.go
@@ -709,7 +709,7 @@
 		p.RecordArrival(time.Now(), newRequest(customer, 20000))
 		g, r := admitWithoutWaiting(p, newRequest(customer, 20000))
 		if g != nil {
-			g.RecordLimit(time.Now(), 0.5)
+			g.RecordStatement(time.Now(), placement.Statement{LimitPerSecond: 0.5})
 			g.RecordFirstEvent(time.Now())
 			g.End(time.Now(), placement.Done)
 		}
--- a/placement/roles.go
+++ b/placement/roles.go
@@ -38,7 +38,7 @@
 	usable := make([]*server, 0, len(p.servers))
 	for _, s := range p.servers {
 		s.prefillServer = false
-		if s.keepsRole() {
+		if s.keepsRole(now) {
 			usable = append(usable, s)
 		}
 	}
--- a/placement/server.go
+++ b/placement/server.go
@@ -8,6 +8,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"bulrushtally/serverlimit"
+	"bulrushtally/serverstatus"
 )
 
 // ServerEntry is the platform's entry for a backend server.
@@ -69,6 +70,7 @@
 	errorSamples int         // number of attempts in errorRate
 	coldRequests eventWindow // requests sent while the server was cold
 	limit        serverlimit.Limit
+	status       *serverstatus.Status // outlives the listing
 
 	sentTokens     uint64 // prefill tokens sent by this router, a counter in its summaries
 	zoneSentTokens uint64 // the same for the other routers of its zone, from their summaries
@@ -83,7 +85,10 @@
 
 // newServer returns a listed server without load.
 func newServer(p *pool, entry ServerEntry) *server {
-	return &server{ServerEntry: entry, hash: xxhash.Sum64String(entry.ID), pool: p, listed: true, slowdown: 1, remoteLoads: map[string]remoteLoad{}, segments: newSegmentCache(p.segmentCacheTokens())}
+	return &server{
+		ServerEntry: entry, hash: xxhash.Sum64String(entry.ID), pool: p, listed: true, slowdown: 1, remoteLoads: map[string]remoteLoad{},
+		segments: newSegmentCache(p.segmentCacheTokens()), status: p.placement.statuses.Of(entry.ID),
+	}
 }
 
 // load returns the requests in flight and their tokens, other routers' included.
@@ -168,8 +173,11 @@
 }
 
 // usable reports whether new requests may be sent to the server.
-func (s *server) usable(now time.Time) bool {
-	return s.listed && !s.Draining && !s.pool.placement.outOfService[s.Zone] && now.After(s.downUntil)
+func (s *server) usable(now time.Time) bool { return s.stays(now) && now.After(s.downUntil) }
+
+// stays reports whether the server is one to use, whatever its state: listed, in service and not leaving.
+func (s *server) stays(now time.Time) bool {
+	return s.listed && !s.Draining && !s.status.Leaving(now) && !s.pool.placement.outOfService[s.Zone]
 }
 
 // roleLossFailures is the number of consecutive failed connections at which a server
@@ -178,9 +186,7 @@
 
 // keepsRole reports whether the server has a role in a disaggregated pool. It ignores
 // backoff, so that a short failure seen by one router does not change the roles of all servers.
-func (s *server) keepsRole() bool {
-	return s.listed && !s.Draining && !s.pool.placement.outOfService[s.Zone] && s.failures < roleLossFailures
-}
+func (s *server) keepsRole(now time.Time) bool { return s.stays(now) && s.failures < roleLossFailures }
 
 // recordUnreachable records a failed connection. No requests are sent to the server for
 // a backoff time that doubles with each consecutive failure.
