A backend server that asks for a pause gets no request from that router until it ends

Change: the pause is kept by server and start beside the statement that it leaves, never shortened within a start, at most 10 minutes. A paused server keeps its role but takes nothing. If all available servers of a service pause, a request that would wait longer than it may is refused at once, as with limits. Tests failed before: TestServerThatWantsAPauseGetsNoRequestUntilItEnds (a request 0.4 ms after 1.5 s were asked for), TestRequestsAreRefusedAtOnceWhileAllServersPause.

--- a/gateway/leaving_test.go
+++ b/gateway/leaving_test.go
@@ -81,3 +81,51 @@
 		t.Errorf("got %d of 20 requests at a server that leaves and was listed once more, want 0", got)
 	}
 }
+
+func TestServerThatWantsAPauseGetsNoRequestUntilItEnds(t *testing.T) {
+	s := newTestbed(t, deskService)
+	paused := s.startServer("i-1", "desk", 0)
+	s.waitReady()
+	paused.AskForPause("1.5")
+	paused.QueueBehaviours(platformtest.Decline)
+	s.waitForRequest(paused)
+	for asked := time.Now(); time.Since(asked) < 1300*time.Millisecond; {
+		if s.gets(paused, 1) > 0 {
+			t.Fatalf("got a request %v after the server had asked for 1.5 s without any", time.Since(asked))
+		}
+	}
+	s.waitForRequest(paused)
+}
+
+func TestPauseThatIsNoNumberIsNone(t *testing.T) {
+	s := newTestbed(t, deskService)
+	odd := s.startServer("i-1", "desk", 0)
+	s.waitReady()
+	for _, pause := range []string{"soon", "NaN", "-1", ""} {
+		odd.AskForPause(pause)
+		odd.QueueBehaviours(platformtest.Decline)
+		if a := s.send("GET", "/desk/x", ""); a.status != 503 {
+			t.Errorf("pause %q: got %d from a server that declines, want 503", pause, a.status)
+		}
+		s.waitForRequest(odd)
+	}
+}
+
+func TestRequestsAreRefusedAtOnceWhileAllServersPause(t *testing.T) {
+	s := newTestbed(t, deskService)
+	paused := s.startServer("i-1", "desk", 0)
+	s.waitReady()
+	paused.AskForPause("3")
+	paused.QueueBehaviours(platformtest.Decline)
+	s.send("GET", "/desk/x", "")
+	began := time.Now()
+	if a := s.send("GET", "/desk/x", ""); a.status != 503 || a.header.Get("Retry-After") == "" {
+		t.Errorf("got %d, want 503 with Retry-After", a.status)
+	}
+	if waited, most := time.Since(began), 200*time.Millisecond; waited > most { // a queued request waits for 250 ms
+		t.Errorf("got the refusal after %v, want it at once (%v)", waited, most)
+	}
+	if got := len(paused.Received()); got != 1 {
+		t.Errorf("got %d requests at the server that pauses, want the one that it declined", got)
+	}
+}
--- a/ingress/attempt.go
+++ b/ingress/attempt.go
@@ -51,7 +51,7 @@
 	r.Abandoned = func() bool { return x.conn.closedByCaller() || x.quarantined() }
 	ex, err := x.flow.Upstream.Send(ctx, g.Address(), r)
 	if err == nil && ex.Status() != http.StatusMisdirectedRequest { // that one would be from another server
-		c := g.RecordStatement(time.Now(), x.flow.Headers.statementOf(ex.Header()))
+		c := g.RecordStatement(time.Now(), x.flow.Headers.statementOf(ex.Status(), ex.Header()))
 		x.flow.logStatement(x.meta.id, g, c)
 	}
 	return ex, err
--- a/ingress/headers.go
+++ b/ingress/headers.go
@@ -12,6 +12,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"bulrushtally/placement"
+	"bulrushtally/serverstatus"
 )
 
 // HeaderNames holds the names of the headers that the router exchanges with callers and
@@ -32,6 +33,7 @@
 	ResponseSeal     string   // set by a backend server on each of its successful responses
 	ServerLimit      string   // set by a backend server in need: requests per second that it takes from all routers together
 	ServerLeaving    string   // set to 1 by a backend server that leaves
+	RetryAfter       string   // set by a backend server on a 503 response: seconds for which it wants no request from this router
 	NotForwarded     []string // further headers of callers that are not forwarded
 }
 
@@ -62,8 +64,15 @@
 }
 
 // statementOf returns what a response says of the backend server that sent it.
-func (names *HeaderNames) statementOf(h http.Header) placement.Statement {
-	return placement.Statement{LimitPerSecond: names.limitOf(h), Leaving: strings.TrimSpace(h.Get(names.ServerLeaving)) == "1"}
+func (names *HeaderNames) statementOf(status int, h http.Header) placement.Statement {
+	st := placement.Statement{LimitPerSecond: names.limitOf(h), Leaving: strings.TrimSpace(h.Get(names.ServerLeaving)) == "1"}
+	if status == http.StatusServiceUnavailable {
+		seconds, err := strconv.ParseFloat(strings.TrimSpace(h.Get(names.RetryAfter)), 64)
+		if err == nil && seconds > 0 { // false for NaN
+			st.Pause = time.Duration(min(seconds, serverstatus.MaxPause.Seconds()) * float64(time.Second))
+		}
+	}
+	return st
 }
 
 // limitOf returns the limit that a response names in requests per second, or 0 if it names none.
--- a/ingress/log.go
+++ b/ingress/log.go
@@ -81,6 +81,9 @@
 	if c.Leaves {
 		f.Logger.Info().Str("server", g.ID()).Int64("started_unix_ms", g.ServerStartedMs()).Str("request", request).Msg("server-leaving")
 	}
+	if c.Pause > 0 {
+		f.Logger.Warn().Str("server", g.ID()).Int64("started_unix_ms", g.ServerStartedMs()).Str("request", request).Dur("pause_ms", c.Pause).Msg("server-paused")
+	}
 }
 
 // LogLimit logs that the limit of a backend server changed.
--- a/placement/limit.go
+++ b/placement/limit.go
@@ -138,19 +138,21 @@
 func (s *server) limited() bool { return s.limit.PerSecond() > 0 }
 
 // unservableUntil returns when the first server of the pool takes a request from this router, if all that are
-// usable are limited; otherwise it returns the zero time. It is far in the future if none takes any.
+// available are limited or want a pause; otherwise it returns the zero time. It is far in the future if none takes any.
 func (p *pool) unservableUntil(now time.Time) (earliest time.Time) {
 	for _, s := range p.servers {
-		if !s.usable(now) {
+		if !s.available(now) {
 			continue
 		}
-		if !s.limited() {
+		pausedUntil := s.status.PausedUntil()
+		if !s.limited() && !pausedUntil.After(now) {
 			return time.Time{}
 		}
 		at, ok := s.limit.NextAt(p.placement.order(s))
 		if !ok {
 			at = now.Add(unservableTime)
 		}
+		at = later(at, pausedUntil)
 		if earliest.IsZero() || at.Before(earliest) {
 			earliest = at
 		}
--- a/placement/server.go
+++ b/placement/server.go
@@ -173,7 +173,12 @@
 }
 
 // usable reports whether new requests may be sent to the server.
-func (s *server) usable(now time.Time) bool { return s.stays(now) && now.After(s.downUntil) }
+func (s *server) usable(now time.Time) bool {
+	return s.available(now) && now.After(s.status.PausedUntil())
+}
+
+// available reports whether new requests may be sent to the server, unless it wants a pause.
+func (s *server) available(now time.Time) bool { return s.stays(now) && now.After(s.downUntil) }
 
 // stays reports whether the server is one to use, whatever its state: listed, in service and not leaving.
 func (s *server) stays(now time.Time) bool {
--- a/placement/statement.go
+++ b/placement/statement.go
@@ -11,14 +11,16 @@
 
 // Statement is what an answer of a backend server says of the server itself.
 type Statement struct {
-	LimitPerSecond float64 // requests that it takes from all routers together; 0 if it names no limit
-	Leaving        bool    // it stops soon and wants no more requests
+	LimitPerSecond float64       // requests that it takes from all routers together; 0 if it names no limit
+	Leaving        bool          // it stops soon and wants no more requests
+	Pause          time.Duration // for which it wants no request from this router; 0 if it asks for none
 }
 
 // StatementChange is what a statement changes in what the router knows of the server.
 type StatementChange struct {
-	Limit  *LimitChange // nil if that is as before
-	Leaves bool         // that it leaves is new
+	Limit  *LimitChange  // nil if that is as before
+	Leaves bool          // that it leaves is new
+	Pause  time.Duration // that is new; 0 if there is none
 }
 
 // RecordStatement records what an answer of the backend server says of it. That is about the server that the request was
@@ -34,6 +36,9 @@
 	if st.Leaving {
 		c.Leaves = s.status.RecordLeaving(now, g.startedMs)
 	}
+	if st.Pause > 0 && s.status.RecordPause(now, g.startedMs, st.Pause) {
+		c.Pause = st.Pause
+	}
 	return c
 }
 
--- a/serverstatus/status.go
+++ b/serverstatus/status.go
@@ -4,17 +4,19 @@
 
 import "time"
 
-// Age of statements.
+// Ages of statements.
 const (
-	LeavingMemory = time.Minute // after the last statement that a server leaves
+	LeavingMemory = time.Minute      // after the last statement that a server leaves
+	MaxPause      = 10 * time.Minute // longer pauses are cut, so that a wrong number does not take a server away for good
 )
 
 // Status is one router's knowledge of one backend server. Its zero value is a server that has said nothing.
 //
 // Invariant: everything in it is of the newest start that is known. startedMs never decreases.
 type Status struct {
-	startedMs int64     // Unix milliseconds; 0 if unknown
-	leavingAt time.Time // when a statement that the server leaves was made last; zero if none was
+	startedMs   int64     // Unix milliseconds; 0 if unknown
+	leavingAt   time.Time // when a statement that the server leaves was made last; zero if none was
+	pausedUntil time.Time
 
 	learned [audiences]bool      // whether an audience is to be told that the server leaves
 	toldAt  [audiences]time.Time // when it was told last
@@ -57,3 +59,17 @@
 func (s *Status) Leaving(now time.Time) bool {
 	return !s.leavingAt.IsZero() && now.Sub(s.leavingAt) < LeavingMemory
 }
+
+// RecordPause records that the server wants no request from this router for d, and reports whether that is longer than
+// before.
+func (s *Status) RecordPause(now time.Time, startedMs int64, d time.Duration) (changed bool) {
+	until := now.Add(min(d, MaxPause))
+	if !s.admit(startedMs) || !until.After(s.pausedUntil) {
+		return false
+	}
+	s.pausedUntil = until
+	return true
+}
+
+// PausedUntil returns until when the server wants no request from this router; it may have passed.
+func (s *Status) PausedUntil() time.Time { return s.pausedUntil }
--- a/serverstatus/status_test.go
+++ b/serverstatus/status_test.go
@@ -44,17 +44,19 @@
 	r := serverstatus.NewRegister()
 	s := r.Of("i")
 	s.RecordLeaving(now, 5)
+	s.RecordPause(now, 5, 3*time.Second)
 	for _, late := range []int64{4, 0} {
 		s.SetStart(late)
+		s.RecordPause(now, late, time.Minute)
 	}
-	if !s.Leaving(now) {
-		t.Error("got the server staying after entries of an older start, want it leaving")
+	if want := now.Add(3 * time.Second); !s.Leaving(now) || !s.PausedUntil().Equal(want) {
+		t.Errorf("got leaving %v and a pause until %v after entries of an older start, want true and %v", s.Leaving(now), s.PausedUntil(), want)
 	}
 	s.SetStart(6)
-	if s.Leaving(now) {
-		t.Error("got a server that started anew leaving")
+	if s.Leaving(now) || s.PausedUntil().After(now) {
+		t.Error("got a server that started anew leaving or pausing, want neither")
 	}
-	if s.RecordLeaving(now, 5) || len(r.Merge(now, []serverstatus.Report{{Server: "i", StartedMs: 5}}, true)) > 0 {
+	if s.RecordLeaving(now, 5) || s.RecordPause(now, 5, time.Second) || len(r.Merge(now, []serverstatus.Report{{Server: "i", StartedMs: 5}}, true)) > 0 {
 		t.Error("got a statement of an older start taken for one of the server that runs now")
 	}
 	if got := fmt.Sprint(r.Merge(now, []serverstatus.Report{{Server: "i", StartedMs: 7}}, true)); got != "[i]" || !s.Leaving(now) {
@@ -71,6 +73,11 @@
 	r := serverstatus.NewRegister()
 	s := r.Of("i")
 	s.RecordLeaving(now, 5)
+	s.RecordPause(now, 5, 1e6*time.Hour)
+	s.RecordPause(now, 5, time.Second)
+	if got, want := s.PausedUntil(), now.Add(serverstatus.MaxPause); !got.Equal(want) {
+		t.Errorf("got a pause until %v, want %v: the longest one", got, want)
+	}
 	listed := func(string) bool { return false }
 	r.Expire(now.Add(serverstatus.LeavingMemory-time.Second), listed)
 	if !r.Of("i").Leaving(now.Add(serverstatus.LeavingMemory - time.Second)) {
