No change of the store falls between two reads any more

A router kept a leaving server for ready, or an old configuration or zone, until the row changed again: DRAIN, and possible for CONFIG and EVAC too. Cause: two calls may be on their way at once. After its history is dropped the store is read anew, and reads may be seconds behind; Follower.reset took that older state with its version, and the answer to the other call raised the version past what lies between, which nothing read again. Change: an answer is applied only if it continues what the table has. A read that is older than the table is refused, and repeated with a delay, for 15 s at most: whatever made the version go back, the follower does not wait for it for ever. An answer that is older than the table confirms nothing. Reads of the whole table that are dropped at once back off: they repeated without any delay. Test failed before: TestChangeBetweenAnOldReadAndALateAnswerIsNotLost.

--- a/follow/delta.go
+++ b/follow/delta.go
@@ -78,8 +78,8 @@
 		f.lastDelta = now
 	}
 	f.mu.Unlock()
-	if loaded && d.From <= f.Version() {
-		f.apply(Batch{Rows: d.Rows, Version: d.To})
+	if loaded {
+		f.apply(d.From, Batch{Rows: d.Rows, Version: d.To})
 	}
 	f.CatchUpTo(d.NewestRow)
 }
--- a/follow/follow.go
+++ b/follow/follow.go
@@ -32,6 +32,10 @@
 // ErrHistoryDropped reports that the store no longer has all changes after a version.
 var ErrHistoryDropped = errors.New("store has dropped the changes after the requested version; read the whole table again")
 
+// errStaleAnswer reports that the store, whose reads may be some seconds behind, answered with an older state of
+// the table than the follower has.
+var errStaleAnswer = errors.New("store answered with a state of the table that is older than the known one")
+
 // Source reads tables from a store.
 type Source interface {
 	// Rows returns all rows of a table. It fails if the store does not answer within the timeout.
@@ -69,7 +73,8 @@
 
 // Follower keeps one table up to date. CatchUpTo may be called from many goroutines.
 //
-// Invariant: each change is applied to the table once, in the order of the store's versions.
+// Invariants: each change is applied to the table once, in the order of the store's versions, and none is left out: an
+// answer is applied only if it holds all changes after a version that the table has. The version never decreases.
 type Follower struct {
 	options     Options
 	failing     bool          // the last polling call failed
@@ -86,6 +91,7 @@
 	pollNow     bool          // poll once although passive, because another follower is ahead
 	wake        chan struct{} // ends the sleep of a passive follower
 	peerNewest  uint64        // version of the newest row that another follower has
+	staleSince  time.Duration // clock reading since when the store answers with older states of the table, 0 if it does not
 	behindSince time.Duration // clock reading since when this follower lacks that row, 0 if it has it
 	clockOffset time.Duration // upper bound on the store's clock minus this router's clock, the smallest one found
 	hasOffset   bool          // clockOffset is known
@@ -128,7 +134,7 @@
 // Run keeps the table up to date until the context ends, and returns nil.
 func (f *Follower) Run(ctx context.Context) error {
 	defer close(f.done)
-	retryDelay := minRetryDelay
+	retryDelay, dropped := minRetryDelay, false
 	for ctx.Err() == nil {
 		if f.passive() {
 			select {
@@ -138,19 +144,28 @@
 			}
 			continue
 		}
-		changed, err := f.poll()
-		wait := time.Duration(0)
+		read, changed, err := f.poll()
+		wait, backOff := time.Duration(0), false
 		switch {
+		case err == nil && read:
+			wait = f.options.PollDelay()
 		case err == nil:
-			retryDelay = minRetryDelay
+			retryDelay, dropped = minRetryDelay, false
 			if changed {
 				wait = f.options.PollDelay()
 			}
 		case errors.Is(err, ErrHistoryDropped):
 			f.options.Logger.Info().Str("table", f.options.Name).Uint64("version", f.Version()).Msg("store-history-dropped")
 			f.invalidate()
+			backOff, dropped = dropped, true // dropped again right after it was read: the store reads old states
+		case errors.Is(err, errStaleAnswer):
+			f.options.Logger.Info().Str("table", f.options.Name).Uint64("version", f.Version()).Msg("store-answer-stale")
+			backOff = true
 		default:
 			f.recordFailure(err)
+			backOff = true
+		}
+		if backOff {
 			wait = retryDelay/2 + rand.N(retryDelay)
 			retryDelay = min(maxRetryDelay, 2*retryDelay)
 		}
@@ -171,8 +186,9 @@
 	f.failing = true
 }
 
-// poll makes one call of the store, applies the answer and reports whether it held changes.
-func (f *Follower) poll() (changed bool, err error) {
+// poll makes one call of the store and applies the answer. It reports whether it read the whole table, and otherwise
+// whether the answer held changes.
+func (f *Follower) poll() (read, changed bool, err error) {
 	o := &f.options
 	began := o.Clock()
 	f.mu.Lock()
@@ -182,38 +198,55 @@
 	if !loaded {
 		b, err := o.Source.Rows(o.Name, o.Timeout)
 		if err != nil {
-			return false, err
+			return true, false, err
+		}
+		if !f.reset(b) {
+			return true, false, errStaleAnswer
 		}
-		f.reset(b)
 		f.confirm(began, b, 0)
 		f.recordSuccess()
-		return true, nil
+		return true, false, nil
 	}
 	wait, delay := o.PollWait(), maxChangeDelay
 	if f.failing || o.Passive != nil && o.Passive() {
 		wait, delay = 0, 0 // an immediate answer shows whether the store has recovered, or what has changed
 	}
-	b, err := o.Source.Changes(o.Name, f.Version(), wait, o.Timeout)
+	after := f.Version()
+	b, err := o.Source.Changes(o.Name, after, wait, o.Timeout)
 	if err != nil {
-		return false, err
+		return false, false, err
+	}
+	if f.apply(after, b) {
+		f.confirm(began, b, delay)
 	}
-	f.apply(b)
-	f.confirm(began, b, delay)
 	f.recordSuccess()
 	if len(b.Rows) > 0 && o.OnChange != nil {
 		o.OnChange()
 	}
-	return len(b.Rows) > 0, nil
+	return false, len(b.Rows) > 0, nil
 }
 
-// reset replaces the content of the table with the answer b.
-func (f *Follower) reset(b Batch) {
+// maxStaleTime is how long the store's reads may be behind. Later, the version has gone back for good, whatever the reason.
+const maxStaleTime = 15 * time.Second
+
+// reset replaces the content of the table with the answer b, unless that is older.
+func (f *Follower) reset(b Batch) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	known, now := f.version.Load(), f.options.Clock()
+	if b.Version >= known {
+		f.staleSince = 0
+	} else if f.staleSince == 0 {
+		f.staleSince = now
+	}
+	if f.staleSince != 0 && now-f.staleSince < maxStaleTime {
+		return false
+	}
 	f.options.Table.Reset(b.Rows)
 	f.recordNewest(b.Rows)
 	f.version.Store(b.Version)
 	f.loaded, f.recent = true, nil
+	return true
 }
 
 // invalidate makes the next call read the whole table.
@@ -223,11 +256,16 @@
 	f.loaded = false
 }
 
-// apply applies changes to the table, except those that it has already.
-func (f *Follower) apply(b Batch) {
+// apply applies all changes after a version to the table, except those that it has already, and reports whether the
+// table then is as the answer b says. It applies none if the table lacks changes before them, as it may when it
+// was read anew while the call was on its way.
+func (f *Follower) apply(after uint64, b Batch) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	known := f.version.Load()
+	if after > known {
+		return false
+	}
 	fresh := b.Rows[:0:0]
 	for _, r := range b.Rows {
 		if r.Version > known {
@@ -238,6 +276,7 @@
 	f.recordNewest(fresh)
 	f.version.Store(max(known, b.Version))
 	f.keepRecent(known, fresh)
+	return b.Version >= known
 }
 
 // maxChangeDelay is the longest time between a change and the store's answer to a call that
@@ -330,13 +369,14 @@
 func (f *Follower) catchUp() {
 	defer f.catchingUp.Store(false)
 	o := &f.options
-	began := o.Clock()
-	b, err := o.Source.Changes(o.Name, f.Version(), 0, o.Timeout)
+	began, after := o.Clock(), f.Version()
+	b, err := o.Source.Changes(o.Name, after, 0, o.Timeout)
 	if err != nil {
 		o.Logger.Debug().Err(err).Str("table", o.Name).Msg("catch-up-failed")
 		time.Sleep(maxRetryDelay)
 		return
 	}
-	f.apply(b)
-	f.confirm(began, b, 0)
+	if f.apply(after, b) {
+		f.confirm(began, b, 0)
+	}
 }
--- a/follow/follow_test.go
+++ b/follow/follow_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -19,7 +20,13 @@
 	mu             sync.Mutex
 	version        uint64
 	rows           map[string]uint64 // newest version by key
-	historyDropped bool              // changes are dropped until the table is read again
+	droppedThrough uint64            // changes up to this version are dropped
+	stale          *follow.Batch     // if not nil, reads of the table return this older state
+	hold           chan struct{}     // if not nil, calls that may not be held have read their answer, but do not return until it is closed
+	pollDelay      time.Duration     // of the followers that start starts
+	deaf           bool              // calls that may be held return no changes
+	holding        atomic.Bool       // such a call waits
+	staleReads     atomic.Int64      // number of reads that returned stale
 	release        chan struct{}     // if not nil, calls that may be held do not return until it is closed
 	now            func() time.Duration
 }
@@ -45,10 +52,22 @@
 func (s *fakeStore) Rows(string, time.Duration) (follow.Batch, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.historyDropped = false
+	if s.stale != nil {
+		s.staleReads.Add(1)
+		return *s.stale, nil
+	}
 	return s.batch(0), nil
 }
 
+// remove removes a row, and with it all history.
+func (s *fakeStore) remove(key string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.rows, key)
+	s.version++
+	s.droppedThrough = s.version
+}
+
 var errStoreDown = errors.New("store is down")
 
 func (s *fakeStore) Changes(_ string, after uint64, wait, _ time.Duration) (follow.Batch, error) {
@@ -58,11 +77,19 @@
 	}
 	time.Sleep(time.Millisecond)
 	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.historyDropped {
+	b, dropped, hold, deaf := s.batch(after), after < s.droppedThrough, s.hold, s.deaf
+	s.mu.Unlock()
+	if dropped {
 		return follow.Batch{}, follow.ErrHistoryDropped
 	}
-	return s.batch(after), nil
+	if wait > 0 && deaf {
+		return follow.Batch{Version: after}, nil
+	}
+	if wait == 0 && hold != nil {
+		s.holding.Store(true)
+		<-hold
+	}
+	return b, nil
 }
 
 // recordingTable records the rows and confirmations that it receives.
@@ -116,7 +143,7 @@
 	x := &recordingTable{values: map[string]uint64{}}
 	f := follow.New(follow.Options{
 		Name: "t", Source: s, Table: x, PollWait: func() time.Duration { return 10 * time.Millisecond }, Timeout: time.Second,
-		PollDelay: func() time.Duration { return 0 }, Clock: clock, Logger: zerolog.Nop(),
+		PollDelay: func() time.Duration { return s.pollDelay }, Clock: clock, Logger: zerolog.Nop(),
 	})
 	ctx, stop := context.WithCancel(context.Background())
 	t.Cleanup(func() {
@@ -147,9 +174,7 @@
 	if !eventually(func() bool { return x.holds("a", v) }) {
 		t.Fatal("the table did not receive a change within 3 s")
 	}
-	s.mu.Lock()
-	s.historyDropped = true
-	s.mu.Unlock()
+	s.remove("none")
 	v = s.put("b")
 	if !eventually(func() bool { return x.holds("b", v) }) {
 		t.Fatal("the table did not receive a change that followed dropped history within 3 s")
@@ -159,6 +184,45 @@
 	}
 }
 
+// The store forgets its history and answers reads with a state of some seconds ago, while a second call is on its way.
+func TestChangeBetweenAnOldReadAndALateAnswerIsNotLost(t *testing.T) {
+	s := &fakeStore{rows: map[string]uint64{}, pollDelay: 150 * time.Millisecond}
+	f, x := start(t, s)
+	old := s.put("a")
+	leaving := s.put("leaving")
+	if !eventually(func() bool { return x.holds("leaving", leaving) }) {
+		t.Fatal("the table did not receive a change within 3 s")
+	}
+	hold := make(chan struct{})
+	s.mu.Lock()
+	s.hold, s.deaf = hold, true
+	s.mu.Unlock()
+	newest := s.put("c")
+	if !eventually(func() bool { f.CatchUpTo(newest); return s.holding.Load() }) {
+		t.Fatal("the follower did not make a second call within 3 s")
+	}
+	s.mu.Lock()
+	s.droppedThrough, s.deaf = newest, false
+	s.stale = &follow.Batch{Rows: []follow.Row{{Key: "a", Version: old}}, Version: old, StoreTime: s.now()}
+	s.mu.Unlock()
+	if !eventually(func() bool { return s.staleReads.Load() > 0 }) {
+		t.Fatal("the follower did not read the table anew within 3 s")
+	}
+	time.Sleep(20 * time.Millisecond) // until it is applied
+	close(hold)
+	time.Sleep(20 * time.Millisecond)
+	s.mu.Lock()
+	s.stale = nil
+	s.mu.Unlock()
+	v := s.put("b")
+	if !eventually(func() bool { return x.holds("b", v) }) {
+		t.Fatal("the table did not receive a change after the store had read old states within 3 s")
+	}
+	if !x.holds("leaving", leaving) {
+		t.Error("got a table without a row that was there before, want it kept")
+	}
+}
+
 func TestCatchUpWhileOpenCallHangs(t *testing.T) {
 	s := &fakeStore{rows: map[string]uint64{}, release: make(chan struct{})}
 	f, x := start(t, s)
