Routers that do not poll learn of a removal that went with the history

Change: a follower that reads its table anew says that rows may have changed up to then, so the others make one call each. Test failed before: TestRemovalThatWentWithTheHistoryReachesPassiveFollowers (kept for 3 s).

--- a/follow/follow.go
+++ b/follow/follow.go
@@ -74,13 +74,14 @@
 // Follower keeps one table up to date. CatchUpTo may be called from many goroutines.
 //
 // Invariants: each change is applied to the table once, in the order of the store's versions, and none is left out: an
-// answer is applied only if it holds all changes after a version that the table has. The version never decreases.
+// answer is applied only if it holds all changes after a version that the table has. The version never decreases. No row
+// changed after newestRow and up to version.
 type Follower struct {
 	options     Options
 	failing     bool          // the last polling call failed
 	lastFailure atomic.Int64  // clock reading at the last failed call, of this follower or of one that sent a delta
 	version     atomic.Uint64 // version of the store up to which the table is current
-	newestRow   atomic.Uint64 // version of the newest row that was applied
+	newestRow   atomic.Uint64 // no row changed between this version and version; mostly that of the newest row
 	done        chan struct{}
 
 	mu          sync.Mutex    // held while rows are applied to the table
@@ -115,7 +116,8 @@
 // Version returns the version of the store up to which the table is current.
 func (f *Follower) Version() uint64 { return f.version.Load() }
 
-// NewestRow returns the version of the newest row that was applied.
+// NewestRow returns the version of the newest row that is known, or a later one if rows may have been removed that
+// this follower has not seen removed.
 func (f *Follower) NewestRow() uint64 { return f.newestRow.Load() }
 
 // recordNewest raises newestRow to the newest version among rows.
@@ -244,6 +246,9 @@
 	}
 	f.options.Table.Reset(b.Rows)
 	f.recordNewest(b.Rows)
+	if known > 0 {
+		f.newestRow.Store(b.Version) // rows may have been removed since the known version
+	}
 	f.version.Store(b.Version)
 	f.loaded, f.recent = true, nil
 	return true
--- a/follow/follow_test.go
+++ b/follow/follow_test.go
@@ -359,6 +359,21 @@
 	}
 }
 
+// A row that was removed has no version to be told by.
+func TestRemovalThatWentWithTheHistoryReachesPassiveFollowers(t *testing.T) {
+	s := &fakeStore{rows: map[string]uint64{}}
+	v := s.put("leaving")
+	f, x, _ := startPassive(t, s)
+	poller, polled := start(t, s)
+	if !x.holds("leaving", v) || !eventually(func() bool { return polled.holds("leaving", v) }) {
+		t.Fatal("the tables do not hold the row")
+	}
+	s.remove("leaving")
+	if !eventually(func() bool { f.ApplyDelta(poller.Delta()); return x.holds("leaving", 0) }) {
+		t.Error("a passive follower kept a row for 3 s after it was removed, want the table read anew")
+	}
+}
+
 func TestPassiveFollowerPollsWhenSenderLosesStore(t *testing.T) {
 	s := &fakeStore{rows: map[string]uint64{}}
 	f, x, _ := startPassive(t, s)
