States of the store are ordered by era, then version

The store may come back from a copy with Store-Era risen by one, give versions out again and answer 410 for versions that it lost. Cause: a version was used as if it were unique for ever, and newestRow and peerNewest only rose. Change: follow.Position orders by era, then version; followers, summaries and deltas use it. An answer of an older era is dropped, one of a newer era has the table read anew, once, after a random delay that grows with the fleet; readings of the store's clock count within an era. A row that others have, and the store does not, is asked for every 250 ms at most. Tests failed before (the follower with the era forced to 0): TestFollowersDoNotCallAgainAndAgainAfterTheStoreCameBack, TestRowsOfANewEraAreReadThoughItsVersionsHavePassedTheKnownOne, TestChangesOfAnotherEraAreNotMixedIn.

--- a/follow/delta.go
+++ b/follow/delta.go
@@ -9,6 +9,7 @@
 type Delta struct {
 	_          struct{} `cbor:",toarray"`
 	Table      string
+	Era        uint64 // of the store; the versions are of this era
 	From       uint64 // version of the store after which Rows holds all changes
 	To         uint64 // version of the store up to which Rows holds all changes
 	NewestRow  uint64 // version of the newest row that the sender has
@@ -52,7 +53,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.keepRecent(0, nil) // drops expired batches
-	d := Delta{Table: f.options.Name, From: f.Version(), To: f.Version(), NewestRow: f.NewestRow()}
+	d := Delta{Table: f.options.Name, Era: f.position.Era, From: f.position.Version, To: f.position.Version, NewestRow: f.newestRow.Version}
 	for i, b := range f.recent {
 		if i == 0 {
 			d.From = b.from
@@ -79,9 +80,9 @@
 	}
 	f.mu.Unlock()
 	if loaded {
-		f.apply(d.From, Batch{Rows: d.Rows, Version: d.To})
+		f.apply(Position{Era: d.Era, Version: d.From}, Batch{Rows: d.Rows, Position: Position{Era: d.Era, Version: d.To}})
 	}
-	f.CatchUpTo(d.NewestRow)
+	f.CatchUpTo(Position{Era: d.Era, Version: d.NewestRow})
 }
 
 // passive reports whether the follower makes no call now because others poll the store for it.
--- a/follow/follow_test.go
+++ b/follow/follow_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"maps"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -18,12 +19,14 @@
 // fakeStore is a Source whose rows and failures the test sets.
 type fakeStore struct {
 	mu             sync.Mutex
+	era            uint64
 	version        uint64
 	rows           map[string]uint64 // newest version by key
 	droppedThrough uint64            // changes up to this version are dropped
 	stale          *follow.Batch     // if not nil, reads of the table return this older state
 	hold           chan struct{}     // if not nil, calls that may not be held have read their answer, but do not return until it is closed
 	pollDelay      time.Duration     // of the followers that start starts
+	down           bool              // all calls fail
 	deaf           bool              // calls that may be held return no changes
 	holding        atomic.Bool       // such a call waits
 	staleReads     atomic.Int64      // number of reads that returned stale
@@ -39,8 +42,33 @@
 	return s.version
 }
 
+// position returns the position of the store; s.mu is held.
+func (s *fakeStore) position() follow.Position {
+	return follow.Position{Era: s.era, Version: s.version}
+}
+
+// copyRows returns a copy of the store, and a function that makes the store come back from it in a new era.
+func (s *fakeStore) copyRows() (restore func()) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	rows, version := maps.Clone(s.rows), s.version
+	return func() {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		s.era++
+		s.rows, s.version = rows, version
+	}
+}
+
+// setDown makes all calls fail, or ends that.
+func (s *fakeStore) setDown(down bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.down = down
+}
+
 func (s *fakeStore) batch(after uint64) follow.Batch {
-	b := follow.Batch{Version: s.version, StoreTime: s.now()}
+	b := follow.Batch{Position: s.position(), StoreTime: s.now()}
 	for key, v := range s.rows {
 		if v > after {
 			b.Rows = append(b.Rows, follow.Row{Key: key, Value: []byte(strconv.FormatUint(v, 10)), Version: v})
@@ -52,6 +80,9 @@
 func (s *fakeStore) Rows(string, time.Duration) (follow.Batch, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if s.down {
+		return follow.Batch{}, errStoreDown
+	}
 	if s.stale != nil {
 		s.staleReads.Add(1)
 		return *s.stale, nil
@@ -77,13 +108,17 @@
 	}
 	time.Sleep(time.Millisecond)
 	s.mu.Lock()
-	b, dropped, hold, deaf := s.batch(after), after < s.droppedThrough, s.hold, s.deaf
+	b, dropped, hold, deaf := s.batch(after), after < s.droppedThrough || after > s.version, s.hold, s.deaf
+	down := s.down
 	s.mu.Unlock()
+	if down {
+		return follow.Batch{}, errStoreDown
+	}
 	if dropped {
 		return follow.Batch{}, follow.ErrHistoryDropped
 	}
 	if wait > 0 && deaf {
-		return follow.Batch{Version: after}, nil
+		return follow.Batch{Position: follow.Position{Era: s.era, Version: after}}, nil
 	}
 	if wait == 0 && hold != nil {
 		s.holding.Store(true)
@@ -97,6 +132,7 @@
 	mu        sync.Mutex
 	values    map[string]uint64
 	resets    int
+	restores  int
 	wentBack  bool // a row was replaced by an older version
 	confirmed []time.Duration
 }
@@ -120,10 +156,18 @@
 	}
 }
 
-func (x *recordingTable) Confirm(at, _ time.Duration) {
+func (x *recordingTable) Confirm(c follow.Confirmation) {
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	x.confirmed = append(x.confirmed, at)
+	x.confirmed = append(x.confirmed, c.At)
+}
+
+func (x *recordingTable) Restore(rows []follow.Row) {
+	x.mu.Lock()
+	x.values = map[string]uint64{}
+	x.restores++
+	x.mu.Unlock()
+	x.Apply(rows)
 }
 
 func (x *recordingTable) holds(key string, version uint64) bool {
@@ -198,12 +242,12 @@
 	s.hold, s.deaf = hold, true
 	s.mu.Unlock()
 	newest := s.put("c")
-	if !eventually(func() bool { f.CatchUpTo(newest); return s.holding.Load() }) {
+	if !eventually(func() bool { f.CatchUpTo(follow.Position{Version: newest}); return s.holding.Load() }) {
 		t.Fatal("the follower did not make a second call within 3 s")
 	}
 	s.mu.Lock()
 	s.droppedThrough, s.deaf = newest, false
-	s.stale = &follow.Batch{Rows: []follow.Row{{Key: "a", Version: old}}, Version: old, StoreTime: s.now()}
+	s.stale = &follow.Batch{Rows: []follow.Row{{Key: "a", Version: old}}, Position: follow.Position{Version: old}, StoreTime: s.now()}
 	s.mu.Unlock()
 	if !eventually(func() bool { return s.staleReads.Load() > 0 }) {
 		t.Fatal("the follower did not read the table anew within 3 s")
@@ -230,7 +274,7 @@
 		t.Fatal("the table was not read")
 	}
 	v := s.put("a")
-	if !eventually(func() bool { f.CatchUpTo(v); return x.holds("a", v) }) {
+	if !eventually(func() bool { f.CatchUpTo(follow.Position{Version: v}); return x.holds("a", v) }) {
 		t.Error("a follower whose open call does not return did not catch up with another one within 3 s")
 	}
 }
@@ -248,7 +292,7 @@
 		s := &scriptedSource{call: func() follow.Batch {
 			now += ms("request", 400)
 			answeredAt = now // the store reads the table at this moment
-			b := follow.Batch{Version: 1, StoreTime: now + ahead}
+			b := follow.Batch{Position: follow.Position{Version: 1}, StoreTime: now + ahead}
 			now += ms("response", 2000)
 			return b
 		}}
@@ -350,7 +394,7 @@
 	f, x, c := startPassive(t, s)
 	v := s.put("a")
 	gap := follow.Delta{Table: "t", From: v, To: v, NewestRow: v}
-	otherPeers := func() { f.CatchUpTo(0) } // most other followers lack the change too
+	otherPeers := func() { f.CatchUpTo(follow.Position{}) } // most other followers lack the change too
 	if !eventually(func() bool { f.ApplyDelta(gap); otherPeers(); return x.holds("a", v) }) {
 		t.Fatal("the passive follower did not read the changes that were missing before a delta within 3 s")
 	}
@@ -383,3 +427,111 @@
 		t.Error("a passive follower whose sender cannot reach the store did not poll it within 3 s")
 	}
 }
+
+func (x *recordingTable) restoreCount() int {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	return x.restores
+}
+
+// Versions go back, so what other followers had before is ahead of all that comes after.
+func TestFollowersDoNotCallAgainAndAgainAfterTheStoreCameBack(t *testing.T) {
+	s := &fakeStore{rows: map[string]uint64{}}
+	s.put("a")
+	restore := s.copyRows()
+	v := s.put("lost")
+	f, x, c := startPassive(t, s)
+	if !eventually(func() bool { return x.holds("lost", v) }) {
+		t.Fatal("the table was not read")
+	}
+	f.CatchUpTo(follow.Position{Version: v + 40})
+	restore()
+	f.CatchUpTo(follow.Position{Era: 1, Version: v - 1})
+	if !eventually(func() bool { return x.restoreCount() == 1 }) {
+		t.Fatal("the table was not read in the new era within 3 s")
+	}
+	time.Sleep(100 * time.Millisecond)
+	before := c.count()
+	for end := time.Now().Add(1200 * time.Millisecond); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
+		f.CatchUpTo(f.NewestRow())
+	}
+	if got := c.count() - before; got > 1 {
+		t.Errorf("got %d calls in 1.2 s after the store came back, want at most 1", got)
+	}
+	before = c.count()
+	for end := time.Now().Add(1200 * time.Millisecond); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
+		f.CatchUpTo(follow.Position{Era: 1, Version: 1e6})
+	}
+	if got := c.count() - before; got > 5 {
+		t.Errorf("got %d calls in 1.2 s for a row that the store does not have, want at most 5", got)
+	}
+}
+
+func TestRowsOfANewEraAreReadThoughItsVersionsHavePassedTheKnownOne(t *testing.T) {
+	s := &fakeStore{rows: map[string]uint64{}}
+	s.put("a")
+	restore := s.copyRows()
+	lost := s.put("lost")
+	_, x := start(t, s)
+	if !eventually(func() bool { return x.holds("lost", lost) }) {
+		t.Fatal("the table was not read")
+	}
+	s.setDown(true)
+	restore()
+	first, _ := s.put("first"), s.put("second")
+	s.setDown(false)
+	if !eventually(func() bool { return x.holds("first", first) }) {
+		t.Error("got a table without a row that was written at a version which was given out again, want it read")
+	}
+	if x.restoreCount() != 1 || x.holds("lost", lost) {
+		t.Errorf("got %d returns told to the table, want 1", x.restoreCount())
+	}
+}
+
+func TestChangesOfAnotherEraAreNotMixedIn(t *testing.T) {
+	s := &fakeStore{rows: map[string]uint64{}}
+	v := s.put("a")
+	restore := s.copyRows()
+	f, x, _ := startPassive(t, s)
+	restore()
+	s.put("b")
+	f.ApplyDelta(follow.Delta{Table: "t", Era: 1, From: v, To: v + 9, NewestRow: v + 9, Rows: []follow.Row{{Key: "mixed", Version: v + 9}}})
+	if x.holds("mixed", v+9) {
+		t.Error("got a change of a new era in a table of the old one, want the table read anew")
+	}
+	if !eventually(func() bool { return x.restoreCount() == 1 && x.holds("b", v+1) }) {
+		t.Error("the table was not read in the new era within 3 s")
+	}
+	f.ApplyDelta(follow.Delta{Table: "t", From: v, To: v + 20, NewestRow: v + 20, Rows: []follow.Row{{Key: "late", Version: v + 20}}})
+	if got := f.Position(); got.Era != 1 || x.holds("late", v+20) {
+		t.Errorf("got position %v and a change of the old era, want era 1 without it", got)
+	}
+}
+
+// Without an era nothing tells that the store lost its rows. It is believed at last.
+func TestStoreWhoseVersionsWentBackWithoutAnEraIsBelievedInTheEnd(t *testing.T) {
+	s := &fakeStore{rows: map[string]uint64{}}
+	s.put("a")
+	restore := s.copyRows()
+	lost := s.put("lost")
+	var ahead atomic.Int64
+	s.now = func() time.Duration { return time.Hour }
+	x := &recordingTable{values: map[string]uint64{}}
+	f := follow.New(follow.Options{
+		Name: "t", Source: s, Table: x, PollWait: func() time.Duration { return 10 * time.Millisecond }, Timeout: time.Second,
+		PollDelay: func() time.Duration { return 0 }, Clock: func() time.Duration { return time.Duration(ahead.Add(int64(10 * time.Millisecond))) }, Logger: zerolog.Nop(),
+	})
+	ctx, stop := context.WithCancel(context.Background())
+	defer func() { stop(); <-f.Done() }()
+	go f.Run(ctx)
+	if !eventually(func() bool { return x.holds("lost", lost) }) {
+		t.Fatal("the table was not read")
+	}
+	restore()
+	s.mu.Lock()
+	s.era = 0
+	s.mu.Unlock()
+	if !eventually(func() bool { ahead.Add(int64(time.Second)); return x.holds("lost", 0) }) {
+		t.Error("got a row kept that the store has lost, want the table read anew after a time")
+	}
+}
--- a/gateway/fleet.go
+++ b/gateway/fleet.go
@@ -21,11 +21,11 @@
 func (g *Gateway) Summary() *placement.Summary {
 	m := &placement.Summary{
 		Router: g.settings.VM, Incarnation: g.incarnation, Zone: g.settings.Zone, Address: g.gossip.Address(),
-		Leaving:           g.leaving.Load(),
-		ServerRowsVersion: g.followers.servers.NewestRow(), OperatorRowsVersion: g.followers.operator.NewestRow(),
+		Leaving:    g.leaving.Load(),
+		ServerRows: g.followers.servers.NewestRow(), OperatorRows: g.followers.operator.NewestRow(),
 	}
 	confirmed := g.operatorRows.lastConfirmation()
-	m.ConfigVersion, m.ConfirmedAt = confirmed.version, uint64(confirmed.storeClock.Milliseconds())
+	m.ConfigVersion, m.ConfirmedAt, m.ConfirmedEra = confirmed.version, uint64(confirmed.storeClock.Milliseconds()), confirmed.era
 	g.placer.FillSummary(time.Now(), m)
 	return m
 }
@@ -35,8 +35,8 @@
 	confirmed := g.operatorRows.lastConfirmation()
 	m := &placement.Summary{
 		Router: g.settings.Zone, Sender: g.settings.VM, Incarnation: g.incarnation, Zone: g.settings.Zone, Address: g.gossip.Address(),
-		ServerRowsVersion: g.followers.servers.NewestRow(), OperatorRowsVersion: g.followers.operator.NewestRow(),
-		ConfigVersion: confirmed.version, ConfirmedAt: uint64(confirmed.storeClock.Milliseconds()),
+		ServerRows: g.followers.servers.NewestRow(), OperatorRows: g.followers.operator.NewestRow(),
+		ConfigVersion: confirmed.version, ConfirmedAt: uint64(confirmed.storeClock.Milliseconds()), ConfirmedEra: confirmed.era,
 	}
 	g.placer.FillZoneSummary(time.Now(), m)
 	return m
@@ -45,9 +45,9 @@
 // ApplySummary applies the summary of another router or of another zone.
 func (g *Gateway) ApplySummary(m *placement.Summary) {
 	now := time.Now()
-	g.confirm(m.ConfigVersion, m.ConfirmedAt)
-	g.followers.operator.CatchUpTo(m.OperatorRowsVersion)
-	g.followers.servers.CatchUpTo(m.ServerRowsVersion)
+	g.confirm(m.ConfigVersion, m.ConfirmedAt, m.ConfirmedEra)
+	g.followers.operator.CatchUpTo(m.OperatorRows)
+	g.followers.servers.CatchUpTo(m.ServerRows)
 	sameZone := m.Zone == g.settings.Zone
 	if !sameZone && m.ZoneRouters == 0 && g.knownRouters.Load() > gossip.ZoneSummaryThreshold {
 		return // in a large fleet, its zone's summary covers it
@@ -90,7 +90,8 @@
 	}
 	servers.FailureAge = operator.FailureAge // both tables are in one store, so the later failure counts for both
 	return &gossip.ZoneUpdate{
-		Router: g.settings.VM, ConfigVersion: confirmed.version, ConfirmedAt: uint64(confirmed.storeClock.Milliseconds()), Tables: []follow.Delta{operator, servers, quarantined},
+		Router: g.settings.VM, ConfigVersion: confirmed.version, ConfirmedAt: uint64(confirmed.storeClock.Milliseconds()), ConfirmedEra: confirmed.era,
+		Tables: []follow.Delta{operator, servers, quarantined},
 	}
 }
 
@@ -106,13 +107,13 @@
 			g.followers.quarantine.ApplyDelta(t)
 		}
 	}
-	g.confirm(update.ConfigVersion, update.ConfirmedAt)
+	g.confirm(update.ConfigVersion, update.ConfirmedAt, update.ConfirmedEra)
 }
 
 // confirm records that another router found a configuration version to be current at a
-// reading of the store's clock, in milliseconds; 0 means that no reading is known.
-func (g *Gateway) confirm(version, storeClockMS uint64) {
-	if at, ok := g.followers.operator.LocalTime(time.Duration(storeClockMS) * time.Millisecond); ok && storeClockMS > 0 {
+// reading of the store's clock in an era, in milliseconds; 0 means that no reading is known.
+func (g *Gateway) confirm(version, storeClockMS, era uint64) {
+	if at, ok := g.followers.operator.LocalTime(time.Duration(storeClockMS)*time.Millisecond, era); ok && storeClockMS > 0 {
 		g.currentConfig.ConfirmVersion(version, at)
 	}
 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -43,6 +43,7 @@
 	serverLongPoll           = 4000 * time.Millisecond
 	pollDelayPerRouter       = 5 * time.Millisecond // between polls that return changes, for each router of the fleet
 	maxPollDelay             = 700 * time.Millisecond
+	maxReadDelay             = 2 * time.Second
 	storeTimeout             = 700 * time.Millisecond // for an answer, in addition to the time of a long poll
 	revokeMargin             = 600 * time.Millisecond // subtracted from MaxRevokeDelay, for clock differences and requests in transit
 	dispatchPeriod           = 8 * time.Millisecond
@@ -123,9 +124,9 @@
 	connOptions := upstream.DefaultOptions
 	connOptions.MaxBufferedBytes = int64(bufferedBodyFraction * float64(s.MemoryLimitMB) * (1 << 20))
 	g.upstream = upstream.NewPool(connOptions, s.IP)
-	g.operatorRows = &operatorTable{currentConfig: g.currentConfig, placer: g.placer, logger: g.logger, outOfService: map[string]bool{}}
+	g.operatorRows = newOperatorTable(g.currentConfig, g.placer, g.logger)
 	g.followers.operator = g.newFollower(platform.OperatorTable, g.operatorRows, g.configPollWait)
-	g.serverRows = &serverTable{placer: g.placer, storeFailed: g.storeFailedRecently, logger: g.logger, keptUntil: map[string]time.Time{}}
+	g.serverRows = newServerTable(g.placer, g.storeFailedRecently, g.logger)
 	g.followers.servers = g.newFollower(platform.ServerTable, g.serverRows, g.serverPollWait)
 	g.suspects = newSuspects(s.VM, g.store, g.metrics, g.logger)
 	g.followers.quarantine = g.newFollower(QuarantineTable, g.suspects, func() time.Duration { return quarantineLongPoll })
@@ -168,10 +169,17 @@
 // longest time of each long poll.
 func (g *Gateway) newFollower(table string, t follow.Table, wait func() time.Duration) *follow.Follower {
 	return follow.New(follow.Options{
-		Name: table, Source: g.store, Table: t, PollWait: wait, Timeout: storeTimeout, PollDelay: g.pollDelay, Passive: g.passive.Load, OnChange: func() { g.gossip.SendUpdate() }, Clock: boottime, Logger: g.logger,
+		Name: table, Source: g.store, Table: t, PollWait: wait, Timeout: storeTimeout, PollDelay: g.pollDelay, ReadDelay: g.readDelay,
+		Passive: g.passive.Load, OnChange: func() { g.gossip.SendUpdate() }, OnRestore: func() { g.gossip.SendUpdate() }, Clock: boottime, Logger: g.logger,
 	})
 }
 
+// readDelay returns how long this router waits before it reads a table of a store that came back from a copy. It is random and
+// grows with the number of routers, since all of them read.
+func (g *Gateway) readDelay() time.Duration {
+	return rand.N(min(maxReadDelay, time.Duration(1+g.knownRouters.Load())*pollDelayPerRouter))
+}
+
 // configPollWait returns the longest time of the next long poll for the configuration. It
 // is random, so that routers that started together do not poll together.
 func (g *Gateway) configPollWait() time.Duration {
--- /dev/null
+++ b/gateway/operatortable.go
@@ -0,0 +1,138 @@
+package gateway
+
+// This file defines operatorTable, which applies the rows that operators write to the platform's store: the
+// configuration and zones out of service.
+
+import (
+	"sync"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"bulrushtally/follow"
+	"bulrushtally/placement"
+	"bulrushtally/platform"
+	"bulrushtally/route"
+)
+
+// operatorTable applies the rows that operators write: the configuration, and the
+// availability zones that are out of service.
+type operatorTable struct {
+	currentConfig *route.CurrentTable
+	placer        *placement.Placement
+	logger        zerolog.Logger
+
+	mu           sync.Mutex
+	outOfService map[string]bool // by zone
+	confirmation confirmation
+}
+
+// confirmation states that a configuration version was current at a reading of the store's
+// clock.
+type confirmation struct {
+	version    uint64
+	storeClock time.Duration // 0 if unknown
+	era        uint64        // of the store
+}
+
+var _ follow.Table = (*operatorTable)(nil)
+
+func newOperatorTable(c *route.CurrentTable, p *placement.Placement, logger zerolog.Logger) *operatorTable {
+	return &operatorTable{currentConfig: c, placer: p, logger: logger, outOfService: map[string]bool{}}
+}
+
+// listedZones returns the zones that rows take out of service.
+func listedZones(rows []follow.Row) map[string]bool {
+	listed := map[string]bool{}
+	for _, r := range rows {
+		if zone, ok := platform.OutOfServiceZone(r.Key); ok {
+			listed[zone] = true
+		}
+	}
+	return listed
+}
+
+// Reset applies all rows of the table. A zone without a row is in service.
+func (o *operatorTable) Reset(rows []follow.Row) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	listed := listedZones(rows)
+	for zone := range o.outOfService {
+		if !listed[zone] {
+			o.setOutOfService(zone, false, 0)
+		}
+	}
+	o.apply(rows)
+}
+
+// Restore applies all rows of the table.
+func (o *operatorTable) Restore(rows []follow.Row) { o.Reset(rows) }
+
+// Apply applies changed rows.
+func (o *operatorTable) Apply(rows []follow.Row) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.apply(rows)
+}
+
+func (o *operatorTable) apply(rows []follow.Row) {
+	for _, r := range rows {
+		if zone, ok := platform.OutOfServiceZone(r.Key); ok {
+			o.setOutOfService(zone, !r.Deleted, r.Version)
+			continue
+		}
+		if r.Key == platform.ConfigKey && !r.Deleted {
+			o.adopt(r)
+		}
+	}
+}
+
+// adopt puts the configuration of a row in force, unless it is invalid or older than the
+// one in force; o.mu is held.
+func (o *operatorTable) adopt(r follow.Row) {
+	t, err := platform.DecodeConfig(r.Value)
+	if err != nil {
+		o.logger.Error().Err(err).Uint64("row_version", r.Version).Msg("configuration-refused")
+		return
+	}
+	if !o.currentConfig.Adopt(t) {
+		return
+	}
+	o.placer.Configure(t)
+	o.logger.Info().Uint64("version", t.Version()).Uint64("row_version", r.Version).
+		Float64("tokens_per_second", t.Limits().CostPerSecond).Msg("configuration-adopted")
+}
+
+// setOutOfService takes a zone out of service or puts it back in service. The row
+// version is that of the zone's row, or 0 if there is no row; o.mu is held.
+func (o *operatorTable) setOutOfService(zone string, out bool, rowVersion uint64) {
+	if o.outOfService[zone] == out {
+		return
+	}
+	if out {
+		o.outOfService[zone] = true
+	} else {
+		delete(o.outOfService, zone)
+	}
+	o.placer.SetZoneOutOfService(time.Now(), zone, out)
+	o.logger.Info().Str("zone", zone).Bool("out_of_service", out).Uint64("row_version", rowVersion).Msg("zone-service-changed")
+}
+
+// Confirm records that the configuration in force was current.
+func (o *operatorTable) Confirm(c follow.Confirmation) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	t := o.currentConfig.Table()
+	if t == nil {
+		return
+	}
+	o.currentConfig.ConfirmVersion(t.Version(), c.At)
+	o.confirmation = confirmation{t.Version(), c.StoreTime, c.Era}
+}
+
+// lastConfirmation returns the last confirmation that this router received from the store.
+func (o *operatorTable) lastConfirmation() confirmation {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.confirmation
+}
--- a/gateway/suspects.go
+++ b/gateway/suspects.go
@@ -47,8 +47,7 @@
 
 	mu         sync.Mutex
 	quarantine *quarantine.Quarantine
-
-	triedAt map[quarantine.Suspect]time.Time // last write of a row; used by run alone
+	triedAt    map[quarantine.Suspect]time.Time // last write of a row; used by run alone
 }
 
 var (
@@ -151,10 +150,7 @@
 
 // Reset replaces the suspects that the store's table lists.
 func (s *suspects) Reset(rows []follow.Row) {
-	listed := map[string]bool{}
-	for _, r := range rows {
-		listed[r.Key] = true
-	}
+	listed := keys(rows)
 	s.update("store", func(q *quarantine.Quarantine) (changes []quarantine.Change) {
 		for _, suspect := range q.Listed() {
 			if !listed[suspect.String()] {
@@ -166,6 +162,9 @@
 	s.Apply(rows)
 }
 
+// Restore replaces the suspects that the store's table lists.
+func (s *suspects) Restore(rows []follow.Row) { s.Reset(rows) }
+
 // Apply applies changed rows of the store's table. One that names no suspect is ignored.
 func (s *suspects) Apply(rows []follow.Row) {
 	for _, r := range rows {
@@ -183,18 +182,23 @@
 	if r.Deleted {
 		return q.Release(now, suspect)
 	}
-	var row quarantineRow
-	if err := json.Unmarshal(r.Value, &row); err != nil {
-		return q.List(now, suspect, 0) // written by hand; the key is what counts
-	}
+	row := decodeRow(now, r)
 	if row.NotTheCause {
 		return q.Unlist(now, suspect)
 	}
 	return q.List(now, suspect, now.Sub(time.UnixMilli(row.SinceMs)))
 }
 
+// decodeRow decodes the value of a row. One that was written by hand lists its suspect from now on: the key is what counts.
+func decodeRow(now time.Time, r follow.Row) (row quarantineRow) {
+	if err := json.Unmarshal(r.Value, &row); err != nil {
+		return quarantineRow{SinceMs: now.UnixMilli()}
+	}
+	return row
+}
+
 // Confirm does nothing: a suspect is held until its row is seen to be gone.
-func (s *suspects) Confirm(_, _ time.Duration) {}
+func (s *suspects) Confirm(follow.Confirmation) {}
 
 // run keeps the store's table until the context ends.
 func (s *suspects) run(ctx context.Context) error {
--- a/gossip/update.go
+++ b/gossip/update.go
@@ -19,6 +19,7 @@
 	Router        string   // name of the sender
 	ConfigVersion uint64   // version of the configuration
 	ConfirmedAt   uint64   // reading of the store's clock in ms at which ConfigVersion was the newest; 0 if unknown
+	ConfirmedEra  uint64   // era of the store at that reading
 	Tables        []follow.Delta
 }
 
--- a/placement/summary.go
+++ b/placement/summary.go
@@ -2,7 +2,11 @@
 
 // This file defines Summary, the load and usage that routers report to each other.
 
-import "time"
+import (
+	"time"
+
+	"bulrushtally/follow"
+)
 
 // Load is one router's load of a backend server, or that of a zone's routers together.
 type Load struct {
@@ -34,24 +38,25 @@
 // routers. It holds states and counters instead of differences, so the next summary compensates
 // for a lost one and a duplicate has no effect.
 type Summary struct {
-	_                   struct{} `cbor:",toarray"`
-	Router              string   // name of the router, or of the zone
-	Incarnation         uint64   // of the sender
-	Zone                string
-	ZoneCandidate       bool     // the router may send the summary of its zone
-	ZoneRouters         int      // number of routers of the zone that it covers; 0 if it covers one router
-	Sender              string   // router that sent the summary of the zone; "" if it covers one router
-	ForwarderAddresses  []string // addresses of the zone's routers that receive the summaries of other zones and forward them within the zone
-	Address             string   // address that the router receives summaries at
-	Leaving             bool     // the router is shutting down
-	ConfigVersion       uint64   // version of the configuration
-	ConfirmedAt         uint64   // reading of the store's clock, in milliseconds, at which ConfigVersion was confirmed current; 0 if unknown
-	ServerRowsVersion   uint64   // version of the newest known row of the store's table of backend servers
-	OperatorRowsVersion uint64   // version of the newest known row of the operator's table
-	Loads               []Load
-	Usage               []CustomerUsage
-	Crashes             []any // whole requests that crashed servers, from routers of earlier versions; no longer used
-	Fits                []FitSums
+	_                  struct{} `cbor:",toarray"`
+	Router             string   // name of the router, or of the zone
+	Incarnation        uint64   // of the sender
+	Zone               string
+	ZoneCandidate      bool            // the router may send the summary of its zone
+	ZoneRouters        int             // number of routers of the zone that it covers; 0 if it covers one router
+	Sender             string          // router that sent the summary of the zone; "" if it covers one router
+	ForwarderAddresses []string        // addresses of the zone's routers that receive the summaries of other zones and forward them within the zone
+	Address            string          // address that the router receives summaries at
+	Leaving            bool            // the router is shutting down
+	ConfigVersion      uint64          // version of the configuration
+	ConfirmedAt        uint64          // reading of the store's clock, in milliseconds, at which ConfigVersion was confirmed current; 0 if unknown
+	ConfirmedEra       uint64          // era of the store at that reading
+	ServerRows         follow.Position // of the newest known row of the store's table of backend servers
+	OperatorRows       follow.Position // of the newest known row of the operator's table
+	Loads              []Load
+	Usage              []CustomerUsage
+	Crashes            []any // whole requests that crashed servers, from routers of earlier versions; no longer used
+	Fits               []FitSums
 }
 
 // peerState is what another router's last summary told, without the usage of customers.
