What operators wrote and the store forgot stays in force until it is written again

Cause: a row that is missing or older after the return was read as what operators say now. Change: what differs from what was known stays as it was until its row is written in the new era, for doubtTime (3 s, below evacuate_ms and config_apply_ms + outer_ms) at most. A configuration is confirmed only by a store that holds that version, and not while another router had a newer one within 10 s. A configuration never goes back. Tests failed before: TestKeyTakenAwayStaysAwayWhenTheStoreForgetsIt (401 instead of 503 from a configuration that the store did not hold), TestZoneOutOfServiceStaysSoWhenTheStoreForgetsIt; TestConfigurationThatIsOlderThanAnotherRoutersIsNotConfirmed is of the new method.

--- a/gateway/deadlines.go
+++ b/gateway/deadlines.go
@@ -24,3 +24,7 @@
 	}
 	return keys
 }
+
+// doubtTime is how long a row that differs from what was known before the store came back from a copy is taken to be old
+// or lost. Who wrote it writes it again within that time.
+const doubtTime = 3 * time.Second
--- a/gateway/fleet.go
+++ b/gateway/fleet.go
@@ -113,6 +113,7 @@
 // confirm records that another router found a configuration version to be current at a
 // reading of the store's clock in an era, in milliseconds; 0 means that no reading is known.
 func (g *Gateway) confirm(version, storeClockMS, era uint64) {
+	g.currentConfig.RecordPeerVersion(version, boottime())
 	if at, ok := g.followers.operator.LocalTime(time.Duration(storeClockMS)*time.Millisecond, era); ok && storeClockMS > 0 {
 		g.currentConfig.ConfirmVersion(version, at)
 	}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -348,6 +348,7 @@
 			return nil
 		case now := <-t.C:
 			g.serverRows.expire(now)
+			g.operatorRows.expire(now)
 			g.placer.Tick(now)
 		}
 	}
--- a/gateway/operatortable.go
+++ b/gateway/operatortable.go
@@ -22,9 +22,12 @@
 	placer        *placement.Placement
 	logger        zerolog.Logger
 
-	mu           sync.Mutex
-	outOfService map[string]bool // by zone
-	confirmation confirmation
+	mu            sync.Mutex
+	outOfService  map[string]bool // by zone
+	copied        map[string]bool // whether a zone is out of service by the copy that the store came back from, if that differs
+	doubts        deadlines       // when that counts, by zone
+	listedVersion uint64          // of the configuration that the store holds
+	confirmation  confirmation
 }
 
 // confirmation states that a configuration version was current at a reading of the store's
@@ -38,7 +41,7 @@
 var _ follow.Table = (*operatorTable)(nil)
 
 func newOperatorTable(c *route.CurrentTable, p *placement.Placement, logger zerolog.Logger) *operatorTable {
-	return &operatorTable{currentConfig: c, placer: p, logger: logger, outOfService: map[string]bool{}}
+	return &operatorTable{currentConfig: c, placer: p, logger: logger, outOfService: map[string]bool{}, copied: map[string]bool{}, doubts: deadlines{}}
 }
 
 // listedZones returns the zones that rows take out of service.
@@ -65,8 +68,32 @@
 	o.apply(rows)
 }
 
-// Restore applies all rows of the table.
-func (o *operatorTable) Restore(rows []follow.Row) { o.Reset(rows) }
+// Restore keeps zones in and out of service as they were until operators write them again, or doubtTime has passed. The
+// configuration that the store holds now may be older than the one in force, which then is not confirmed any more.
+func (o *operatorTable) Restore(rows []follow.Row) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	listed, until := listedZones(rows), time.Now().Add(doubtTime)
+	doubt := func(zone string) {
+		if listed[zone] != o.outOfService[zone] {
+			o.copied[zone] = listed[zone]
+			o.doubts.begin(zone, until)
+			o.logger.Info().Str("zone", zone).Bool("out_of_service", o.outOfService[zone]).Msg("zone-service-doubted")
+		}
+	}
+	for zone := range listed {
+		doubt(zone)
+	}
+	for zone := range o.outOfService {
+		doubt(zone)
+	}
+	o.listedVersion = 0
+	for _, r := range rows {
+		if r.Key == platform.ConfigKey {
+			o.adopt(r)
+		}
+	}
+}
 
 // Apply applies changed rows.
 func (o *operatorTable) Apply(rows []follow.Row) {
@@ -78,6 +105,7 @@
 func (o *operatorTable) apply(rows []follow.Row) {
 	for _, r := range rows {
 		if zone, ok := platform.OutOfServiceZone(r.Key); ok {
+			delete(o.doubts, zone)
 			o.setOutOfService(zone, !r.Deleted, r.Version)
 			continue
 		}
@@ -87,6 +115,15 @@
 	}
 }
 
+// expire applies what the store came back with for zones that were not written again.
+func (o *operatorTable) expire(now time.Time) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	for _, zone := range o.doubts.due(now) {
+		o.setOutOfService(zone, o.copied[zone], 0)
+	}
+}
+
 // adopt puts the configuration of a row in force, unless it is invalid or older than the
 // one in force; o.mu is held.
 func (o *operatorTable) adopt(r follow.Row) {
@@ -95,6 +132,7 @@
 		o.logger.Error().Err(err).Uint64("row_version", r.Version).Msg("configuration-refused")
 		return
 	}
+	o.listedVersion = t.Version()
 	if !o.currentConfig.Adopt(t) {
 		return
 	}
@@ -118,12 +156,13 @@
 	o.logger.Info().Str("zone", zone).Bool("out_of_service", out).Uint64("row_version", rowVersion).Msg("zone-service-changed")
 }
 
-// Confirm records that the configuration in force was current.
+// Confirm records that the configuration in force was current, unless the store holds another one: after a return from a
+// copy it may hold an older one for a while.
 func (o *operatorTable) Confirm(c follow.Confirmation) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	t := o.currentConfig.Table()
-	if t == nil {
+	if t == nil || t.Version() != o.listedVersion {
 		return
 	}
 	o.currentConfig.ConfirmVersion(t.Version(), c.At)
--- a/gateway/restored_test.go
+++ b/gateway/restored_test.go
@@ -4,6 +4,8 @@
 	"strings"
 	"testing"
 	"time"
+
+	"bulrushtally/platform/platformtest"
 )
 
 // logged reports whether the gateway's log has a line with all of the texts.
@@ -58,3 +60,62 @@
 		t.Errorf("got no log line that the store came back; log:\n%s", s.logs)
 	}
 }
+
+func TestKeyTakenAwayStaysAwayWhenTheStoreForgetsIt(t *testing.T) {
+	s := newTestbed(t, deskService)
+	desk := s.startServer("i-1", "desk", 0)
+	s.waitReady()
+	restore := s.store.Copy()
+	newer := platformtest.Config(2, []string{"key-2"}, deskService)
+	s.store.Put("op", "config", newer)
+	s.waitLogged("configuration-adopted", `"version":2`)
+	restore()
+	s.waitLogged("store-restored", `"table":"op"`)
+	second := *s
+	second.gateway, second.logs, second.stop = startGateway(t, s.store, "router-2")
+	defer second.stop()
+	second.waitLogged("configuration-adopted", `"version":1`)
+	time.Sleep(2 * time.Second) // until what was confirmed before counts no more
+	for end := time.Now().Add(2 * time.Second); time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
+		for _, router := range []*testbed{s, &second} {
+			for _, key := range []string{"key-1", "key-2"} {
+				if a := router.send("GET", "/desk/x", "", "X-Api-Key", key); a.status != 503 {
+					t.Fatalf("got %d for %q while the store holds an older configuration, want 503; log:\n%s", a.status, key, router.logs)
+				}
+			}
+		}
+	}
+	if got := len(desk.Received()); got > 0 {
+		t.Errorf("got %d requests at the server, want none", got)
+	}
+	s.store.Put("op", "config", newer)
+	for _, router := range []*testbed{s, &second} {
+		if !eventually(5*time.Second, func() bool { return router.send("GET", "/desk/x", "", "X-Api-Key", "key-2").status == 200 }) {
+			t.Error("got no answer of 200 in 5 s after the configuration was written again")
+		}
+		if a := router.send("GET", "/desk/x", "", "X-Api-Key", "key-1"); a.status != 401 {
+			t.Errorf("got %d for the key that was taken away, want 401", a.status)
+		}
+	}
+}
+
+func TestZoneOutOfServiceStaysSoWhenTheStoreForgetsIt(t *testing.T) {
+	s := newTestbed(t, deskService)
+	desk := s.startServer("i-1", "desk", 0)
+	s.waitReady()
+	restore := s.store.Copy()
+	s.store.Put("op", "evacuate/zone-a", map[string]any{})
+	s.waitLogged("zone-service-changed", `"out_of_service":true`)
+	restore()
+	s.waitLogged("zone-service-doubted")
+	for end := time.Now().Add(2500 * time.Millisecond); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
+		if got := s.gets(desk, 1); got != 0 {
+			t.Fatal("got a request in a zone that was taken out of service, want none until the store is known to be right")
+		}
+	}
+	s.waitForRequest(desk) // nobody wrote it again
+	s.store.Put("op", "evacuate/zone-a", map[string]any{})
+	if !eventually(2*time.Second, func() bool { return s.gets(desk, 1) == 0 }) {
+		t.Error("got requests in a zone 2 s after it was taken out of service in the new era")
+	}
+}
--- a/route/current.go
+++ b/route/current.go
@@ -12,13 +12,15 @@
 // was confirmed to be the newest version. It may be used from many goroutines.
 //
 // Invariants: the version never decreases. A confirmation counts only if it is for the current
-// version and later than the last one. Times are readings of a clock that advances while the VM
+// version, later than the last one, and no other router had a newer version shortly before. Times are readings of a clock that advances while the VM
 // is suspended, so that a VM does not treat its Table as fresh when it resumes.
 type CurrentTable struct {
 	mu          sync.Mutex
 	table       *Table
 	confirmedAt time.Duration // latest clock reading at which the table was the newest version
 	confirmed   bool          // confirmedAt is set
+	peerVersion uint64        // newest version that another router had within peerMemory
+	peerAt      time.Duration // clock reading at which one had it last
 	changed     chan struct{} // closed at the next change of the table
 }
 
@@ -46,12 +48,26 @@
 	return true
 }
 
+// peerMemory is how long the version of another router counts. It is forgotten then, since what only that router knew may have
+// gone with it.
+const peerMemory = 10 * time.Second
+
+// RecordPeerVersion records that another router has a version. While that is newer than the current one, this cannot be
+// the newest, whatever the store says: it may have come back from a copy.
+func (c *CurrentTable) RecordPeerVersion(version uint64, now time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if version >= c.peerVersion || now-c.peerAt > peerMemory {
+		c.peerVersion, c.peerAt = version, now
+	}
+}
+
 // ConfirmVersion records that a version was the newest one at a reading of the clock. It has no effect if
-// the version is not the current one or was confirmed at a later reading.
+// the version is not the current one or was confirmed at a later reading, or if another router had a newer one.
 func (c *CurrentTable) ConfirmVersion(version uint64, at time.Duration) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.table == nil || version != c.table.version {
+	if c.table == nil || version != c.table.version || version < c.peerVersion && at-c.peerAt <= peerMemory {
 		return
 	}
 	if !c.confirmed || at > c.confirmedAt {
--- a/route/route_test.go
+++ b/route/route_test.go
@@ -81,3 +81,26 @@
 		}
 	})
 }
+
+// The store came back from a copy with an older configuration, which this router holds.
+func TestConfigurationThatIsOlderThanAnotherRoutersIsNotConfirmed(t *testing.T) {
+	c := route.NewCurrentTable()
+	c.Adopt(route.New(1, nil, nil, nil, route.Limits{}))
+	c.RecordPeerVersion(2, 10*time.Second)
+	c.RecordPeerVersion(1, 11*time.Second)
+	c.ConfirmVersion(1, 12*time.Second)
+	if _, age, confirmed := c.Age(12 * time.Second); confirmed {
+		t.Errorf("got version 1 confirmed %v ago beside a router with version 2, want it not confirmed", age)
+	}
+	c.RecordPeerVersion(1, 25*time.Second)
+	c.ConfirmVersion(1, 25*time.Second)
+	if _, _, confirmed := c.Age(25 * time.Second); !confirmed {
+		t.Error("got version 1 not confirmed 15 s after the last router had version 2, want it confirmed")
+	}
+	c.RecordPeerVersion(3, 26*time.Second)
+	c.Adopt(route.New(3, nil, nil, nil, route.Limits{}))
+	c.ConfirmVersion(3, 27*time.Second)
+	if _, _, confirmed := c.Age(27 * time.Second); !confirmed {
+		t.Error("got the version that another router has not confirmed, want it confirmed")
+	}
+}
