Backend servers are listed right when the store forgets their entries

After a return from a copy routers sent to servers that had been removed before (DRAIN), and dropped sound ones whose entries the copy lacks. Cause: entries that came or went with the copy were read as news. Change: a lost entry keeps its server for 1.8 s, as after an outage. An entry of a server that was removed within the last minute, or of an older start than the known one, does not count until the server writes it again, or 3 s have passed.

--- a/gateway/restored_test.go
+++ b/gateway/restored_test.go
@@ -119,3 +119,31 @@
 		t.Error("got requests in a zone 2 s after it was taken out of service in the new era")
 	}
 }
+
+func TestServersAreListedRightWhenTheStoreForgetsTheirEntries(t *testing.T) {
+	s := newTestbed(t, deskService)
+	left, stays := s.startServer("i-1", "desk", 0), s.startServer("i-2", "desk", 0)
+	s.waitReady()
+	restore := s.store.Copy()
+	s.store.Delete("servers", "i-1")
+	s.waitLogged("server-unlisted", "i-1")
+	fresh := s.startServer("i-3", "desk", 0)
+	s.waitReady()
+	s.putEntry(stays, "draining")
+	restore()
+	s.waitLogged("store-restored", `"table":"servers"`)
+	for end := time.Now().Add(1500 * time.Millisecond); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
+		if a := s.send("GET", "/desk/x", ""); a.status != 200 {
+			t.Fatalf("got %d within 2 s of a return that lost the entry of a server, want 200 from that server", a.status)
+		}
+	}
+	if got := len(left.Received()) + len(stays.Received()); got > 0 {
+		t.Errorf("got %d requests at servers that had been removed or said to leave before the return, want none", got)
+	}
+	s.putEntry(fresh, "ready")
+	s.store.Delete("servers", "i-1")
+	time.Sleep(3 * time.Second)
+	if got := s.gets(fresh, 20); got != 20 {
+		t.Errorf("got %d of 20 requests at the server that wrote its entry again, want all", got)
+	}
+}
--- a/gateway/servertable.go
+++ b/gateway/servertable.go
@@ -23,17 +23,30 @@
 	storeFailed func() bool // reports whether a recent store failure may be why entries are missing
 	logger      zerolog.Logger
 
-	mu      sync.Mutex
-	loaded  bool             // the table was read once
-	started map[string]int64 // by ID of a listed backend server: its start in Unix milliseconds, 0 if unknown
-	kept    deadlines        // by ID of a backend server whose entry is missing: when it is removed unless it is listed again
+	mu       sync.Mutex
+	loaded   bool             // the table was read once
+	started  map[string]int64 // by ID of a listed backend server: its start in Unix milliseconds, 0 if unknown
+	departed map[string]departure
+	kept     deadlines             // by ID of a backend server whose entry is missing: when it is removed unless it is listed again
+	copied   map[string]follow.Row // by ID: the entry of a copy that the store came back from, if that seems older than what is known
+	doubts   deadlines             // when that entry counts, by ID
 }
 
+// departure is a backend server that was removed from the list.
+type departure struct {
+	startedMs int64
+	at        time.Time
+}
+
+// departureMemory is how long it is known that a backend server was removed. A copy of the store is some seconds old.
+const departureMemory = time.Minute
+
 var _ follow.Table = (*serverTable)(nil)
 
 func newServerTable(p *placement.Placement, storeFailed func() bool, logger zerolog.Logger) *serverTable {
 	return &serverTable{
-		placer: p, storeFailed: storeFailed, logger: logger, started: map[string]int64{}, kept: deadlines{},
+		placer: p, storeFailed: storeFailed, logger: logger, started: map[string]int64{}, departed: map[string]departure{},
+		kept: deadlines{}, copied: map[string]follow.Row{}, doubts: deadlines{},
 	}
 }
 
@@ -60,8 +73,43 @@
 	return set
 }
 
-// Restore applies all entries of the table.
-func (s *serverTable) Restore(rows []follow.Row) { s.Reset(rows) }
+// Restore keeps the backend servers whose entries were lost for relistTimeout, as after a failure of the store, and leaves out
+// those that were removed since the copy was made, or had started anew, until they write their entries again
+// or doubtTime has passed.
+func (s *serverTable) Restore(rows []follow.Row) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now, listed := time.Now(), keys(rows)
+	for id := range s.started {
+		if !listed[id] {
+			s.keep(now, id, 0)
+		}
+	}
+	var credible []follow.Row
+	for _, r := range rows {
+		if !s.outdated(now, r) {
+			credible = append(credible, r)
+			continue
+		}
+		s.copied[r.Key] = r
+		s.doubts.begin(r.Key, now.Add(doubtTime))
+		s.logger.Info().Str("server", r.Key).Uint64("row_version", r.Version).Msg("server-entry-doubted")
+	}
+	s.apply(credible)
+}
+
+// outdated reports whether a row seems to be of before a backend server was removed or started anew.
+func (s *serverTable) outdated(now time.Time, r follow.Row) bool {
+	e, err := platform.DecodeServerEntry(r.Key, r.Value)
+	if err != nil {
+		return false
+	}
+	if started, ok := s.started[r.Key]; ok {
+		return e.StartedMs < started
+	}
+	d, ok := s.departed[r.Key]
+	return ok && e.StartedMs <= d.startedMs && now.Sub(d.at) < departureMemory
+}
 
 // Apply applies changed entries.
 func (s *serverTable) Apply(rows []follow.Row) {
@@ -73,6 +121,7 @@
 // apply applies changed entries. One that cannot be used counts as missing.
 func (s *serverTable) apply(rows []follow.Row) {
 	for _, r := range rows {
+		delete(s.doubts, r.Key)
 		if r.Deleted {
 			s.handleMissing(r.Key, r.Version)
 			continue
@@ -84,6 +133,7 @@
 			continue
 		}
 		delete(s.kept, r.Key)
+		delete(s.departed, r.Key)
 		s.started[e.ID] = e.StartedMs
 		s.placer.SetServer(time.Now(), e)
 		s.logger.Info().Str("server", e.ID).Str("address", e.Address).Str("zone", e.Zone).Bool("draining", e.Draining).
@@ -113,19 +163,32 @@
 
 // remove removes a backend server.
 func (s *serverTable) remove(now time.Time, id string, rowVersion uint64) {
-	delete(s.started, id)
+	if started, ok := s.started[id]; ok {
+		s.departed[id] = departure{started, now}
+		delete(s.started, id)
+	}
 	delete(s.kept, id)
 	s.placer.RemoveServer(id)
 	s.logger.Info().Str("server", id).Uint64("row_version", rowVersion).Msg("server-unlisted")
 }
 
-// expire removes the backend servers that were not listed again within relistTimeout.
+// expire removes the backend servers that were not listed again within relistTimeout, and applies entries that were in
+// doubt for doubtTime.
 func (s *serverTable) expire(now time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, id := range s.kept.due(now) {
 		s.remove(now, id, 0)
 	}
+	for _, id := range s.doubts.due(now) {
+		s.apply([]follow.Row{s.copied[id]})
+		delete(s.copied, id)
+	}
+	for id, d := range s.departed {
+		if now.Sub(d.at) > departureMemory {
+			delete(s.departed, id)
+		}
+	}
 }
 
 // ready reports whether the entries were read since the start.
