Held suspects that the store forgets are held on and written again

After a return from a copy a suspect whose row was lost was released, as if an operator had deleted its row, and one that had been released was held again. Change: Quarantine.Restored tells a lost row from a deleted one. A lost one is written again by a router that saw a crash, or by another after 1.2 to 3.2 s, a different time for each. What was unlisted within the last minute is marked as not the cause instead of held. Tests failed before: TestHeldSuspectIsWrittenAgainWhenTheStoreForgetsIt; TestSuspectReleasedBeforeTheStoreCameBackIsNotHeldAgain is of the new method.

--- a/gateway/restored_test.go
+++ b/gateway/restored_test.go
@@ -147,3 +147,20 @@
 		t.Errorf("got %d of 20 requests at the server that wrote its entry again, want all", got)
 	}
 }
+
+func TestHeldSuspectIsWrittenAgainWhenTheStoreForgetsIt(t *testing.T) {
+	s := newTestbed(t, platformtest.Service("models", "stream", 1, map[string]any{"public": true, "engine": map[string]any{"slots": 8, "kv_capacity": 444000}}))
+	_, crashes := startCrashingServers(s, 2)
+	s.waitReady()
+	restore := s.store.Copy()
+	s.store.Put("quarantine", "part/"+crashingPart, []byte("written by an operator"))
+	s.waitLogged(`"quarantined"`)
+	restore()
+	s.waitLogged("store-restored", `"table":"quarantine"`)
+	if !eventually(8*time.Second, func() bool { return s.store.Row("quarantine", "part/"+crashingPart) }) {
+		t.Error("got no row of a held suspect 8 s after the store came back without it")
+	}
+	if a := s.sendPrompt(1, "customer:100,"+crashingPart+":100"); a.status != 503 || crashes.Load() > 0 {
+		t.Errorf("got %d and %d crashes, want the suspect held on", a.status, crashes.Load())
+	}
+}
--- a/gateway/suspects.go
+++ b/gateway/suspects.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"encoding/json"
+	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -23,7 +24,8 @@
 // Timing and bounds of the store's table.
 const (
 	quarantinePeriod      = 100 * time.Millisecond  // between two looks for rows to write
-	quarantinePatience    = 1200 * time.Millisecond // for which a router that saw none of the crashes leaves the row to others
+	quarantinePatience    = 1200 * time.Millisecond // for which a router that saw none of the crashes leaves the row to others, at least
+	patienceSpread        = 2 * time.Second         // up to which routers add to that, so that they do not write all at once
 	quarantineRetry       = 2 * time.Second         // until a row that was written, but not listed since, is written again
 	quarantineLongPoll    = 5 * time.Second
 	quarantineCallTimeout = 700 * time.Millisecond
@@ -47,7 +49,9 @@
 
 	mu         sync.Mutex
 	quarantine *quarantine.Quarantine
-	triedAt    map[quarantine.Suspect]time.Time // last write of a row; used by run alone
+
+	patience time.Duration
+	triedAt  map[quarantine.Suspect]time.Time // last write of a row; used by run alone
 }
 
 var (
@@ -58,7 +62,7 @@
 func newSuspects(vm string, store rowWriter, metrics tally.Scope, logger zerolog.Logger) *suspects {
 	return &suspects{
 		logger: logger, vm: vm, store: store, held: metrics.Gauge("quarantined"), crashes: metrics.Counter("crashes_seen"), done: make(chan struct{}),
-		quarantine: quarantine.New(), triedAt: map[quarantine.Suspect]time.Time{},
+		quarantine: quarantine.New(), patience: quarantinePatience + rand.N(patienceSpread), triedAt: map[quarantine.Suspect]time.Time{},
 	}
 }
 
@@ -162,8 +166,17 @@
 	s.Apply(rows)
 }
 
-// Restore replaces the suspects that the store's table lists.
-func (s *suspects) Restore(rows []follow.Row) { s.Reset(rows) }
+// Restore takes the rows that the store has after it came back from a copy.
+func (s *suspects) Restore(rows []follow.Row) {
+	now, listed := time.Now(), map[quarantine.Suspect]time.Duration{}
+	for _, r := range rows {
+		suspect, err := quarantine.ParseSuspect(r.Key)
+		if row := decodeRow(now, r); err == nil && !row.NotTheCause {
+			listed[suspect] = now.Sub(time.UnixMilli(row.SinceMs))
+		}
+	}
+	s.update("store", func(q *quarantine.Quarantine) []quarantine.Change { return q.Restored(now, listed) })
+}
 
 // Apply applies changed rows of the store's table. One that names no suspect is ignored.
 func (s *suspects) Apply(rows []follow.Row) {
@@ -220,7 +233,7 @@
 // those that have lapsed, each at most once within quarantineRetry.
 func (s *suspects) writeRows(now time.Time) {
 	s.mu.Lock()
-	unwritten, outdated, lapsed := s.quarantine.Unwritten(now, quarantinePatience), s.quarantine.Outdated(now), s.quarantine.Lapsed(now)
+	unwritten, outdated, lapsed := s.quarantine.Unwritten(now, s.patience), s.quarantine.Outdated(now), s.quarantine.Lapsed(now)
 	s.mu.Unlock()
 	for _, h := range unwritten {
 		s.writeRow(now, h.Suspect, quarantineRow{VM: s.vm, Crashes: h.Crashes, SinceMs: time.Now().UnixMilli()})
--- a/quarantine/accusation.go
+++ b/quarantine/accusation.go
@@ -94,8 +94,13 @@
 	delete(q.records, least)
 }
 
-// expire drops accusations that count no longer.
+// expire drops what counts no longer.
 func (q *Quarantine) expire(now time.Time) {
+	for s, at := range q.unlisted {
+		if now.Sub(at) > unlistedTime {
+			delete(q.unlisted, s)
+		}
+	}
 	for s, rec := range q.records {
 		for c, a := range rec.accusations {
 			if now.Sub(a.at) > accusationTime || a.cleared && now.Sub(a.changedAt) > clearedTime {
--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -19,6 +19,7 @@
 	reportDelay     = 5 * time.Millisecond   // by which a report may shift the times of a crash
 	accusationTime  = 10 * time.Minute       // how long an accusation counts
 	HoldTime        = time.Hour              // how long a suspect in the store's table is held
+	unlistedTime    = time.Minute            // how long it is known that a suspect was unlisted; a copy of the store is some seconds old
 	clearedTime     = 10 * time.Second       // how long a cleared accusation is remembered, so that a late report of it changes nothing
 	maxSuspects     = 4096
 	maxAccusations  = 16   // of one suspect
@@ -100,7 +101,8 @@
 // listing is a suspect in the store's table.
 type listing struct {
 	since     time.Time
-	disproved bool // an answer on it has begun since
+	disproved bool      // an answer on it has begun since, or it had been unlisted before the store came back from a copy
+	lostAt    time.Time // when the store came back without its row, which is to be written again; zero if it has it
 }
 
 // Quarantine is one router's knowledge of suspects. It is not safe for concurrent use.
@@ -111,6 +113,8 @@
 	held    map[Suspect]*Hold
 	listed  map[Suspect]*listing
 
+	unlisted map[Suspect]time.Time // when a suspect was released or unlisted, for unlistedTime
+
 	// What ran at this router without harm.
 	begun     map[string]bool // parts on which an answer began
 	completed map[uint64]bool // digests of whole requests that completed
@@ -120,7 +124,7 @@
 
 // New returns an empty Quarantine.
 func New() *Quarantine {
-	return &Quarantine{records: map[Suspect]*record{}, held: map[Suspect]*Hold{}, listed: map[Suspect]*listing{}, begun: map[string]bool{}, completed: map[uint64]bool{}}
+	return &Quarantine{records: map[Suspect]*record{}, held: map[Suspect]*Hold{}, listed: map[Suspect]*listing{}, unlisted: map[Suspect]time.Time{}, begun: map[string]bool{}, completed: map[uint64]bool{}}
 }
 
 // Held returns why a request must not run, or nil if it may.
--- a/quarantine/quarantine_test.go
+++ b/quarantine/quarantine_test.go
@@ -268,3 +268,33 @@
 		}
 	}
 }
+
+func TestSuspectReleasedBeforeTheStoreCameBackIsNotHeldAgain(t *testing.T) {
+	now := time.Unix(1e9, 0)
+	q := quarantine.New()
+	released, lost, kept := quarantine.Suspect{Part: "released"}, quarantine.Suspect{Part: "lost"}, quarantine.Suspect{Part: "kept"}
+	for _, s := range []quarantine.Suspect{released, lost, kept} {
+		q.List(now, s, 0)
+	}
+	q.Release(now, released)
+	now = now.Add(2 * time.Second)
+	q.Restored(now, map[quarantine.Suspect]time.Duration{released: 3 * time.Second, kept: 3 * time.Second})
+	for _, s := range []quarantine.Suspect{released, lost, kept} {
+		if got, want := q.Held(quarantine.Identity{Parts: []string{s.Part}}) != nil, s != released; got != want {
+			t.Errorf("got %q held: %v, want %v", s.Part, got, want)
+		}
+	}
+	if got := q.Outdated(now); len(got) != 1 || got[0] != released {
+		t.Errorf("got %v to be marked in the store, want the released one", got)
+	}
+	if got := q.Unwritten(now.Add(time.Second), 2*time.Second); len(got) > 0 {
+		t.Errorf("got %v to be written within the patience, want none", got)
+	}
+	if got := q.Unwritten(now.Add(3*time.Second), 2*time.Second); len(got) != 1 || got[0].Suspect != lost {
+		t.Errorf("got %v to be written again, want the lost one", got)
+	}
+	q.List(now, lost, 0)
+	if got := q.Unwritten(now.Add(3*time.Second), 2*time.Second); len(got) > 0 {
+		t.Errorf("got %v to be written though another router did, want none", got)
+	}
+}
--- a/quarantine/report.go
+++ b/quarantine/report.go
@@ -104,12 +104,37 @@
 // List records that the store's table lists a suspect, which all routers then hold. age is the time since
 // it was listed.
 func (q *Quarantine) List(now time.Time, s Suspect, age time.Duration) []Change {
-	if q.listed[s] == nil {
+	if l := q.listed[s]; l != nil {
+		l.lostAt = time.Time{}
+	} else {
 		q.listed[s] = &listing{since: now.Add(-max(0, age))}
 	}
 	return q.decide(now)
 }
 
+// Restored records what the store's table lists, by age, after the store came back from a copy. A row that it has no
+// longer was lost and is to be written again: that is no release. One that it has again was released or unlisted since the
+// copy was made.
+func (q *Quarantine) Restored(now time.Time, rows map[Suspect]time.Duration) []Change {
+	for s, l := range q.listed {
+		if _, ok := rows[s]; ok {
+			continue
+		}
+		if l.disproved {
+			delete(q.listed, s)
+			continue
+		}
+		l.lostAt = now
+	}
+	for s, age := range rows {
+		if q.listed[s] == nil {
+			_, unlisted := q.unlisted[s]
+			q.listed[s] = &listing{since: now.Add(-max(0, age)), disproved: unlisted}
+		}
+	}
+	return q.decide(now)
+}
+
 // Unlist records that the store's table lists a suspect no longer, since a router found it not to be
 // the cause.
 func (q *Quarantine) Unlist(now time.Time, s Suspect) []Change {
@@ -117,6 +142,7 @@
 		return nil
 	}
 	delete(q.listed, s)
+	q.unlisted[s] = now
 	return q.decide(now)
 }
 
@@ -161,8 +187,14 @@
 func (q *Quarantine) Unwritten(now time.Time, patience time.Duration) []Hold {
 	var list []Hold
 	for s, h := range q.held {
-		age := now.Sub(h.Since)
-		if q.listed[s] == nil && age >= settleTime && (q.sawCrash(s) || age > patience) {
+		since := h.Since
+		if l := q.listed[s]; l != nil {
+			if l.lostAt.IsZero() {
+				continue
+			}
+			since = l.lostAt
+		}
+		if age := now.Sub(since); age >= settleTime && (q.sawCrash(s) || age > patience) {
 			list = append(list, *h)
 		}
 	}
