A router whose row the store forgets writes it again

Routers that start later find others by the rows of the table of routers, which each wrote once. Change: a router that wrote its row within the last minute writes it again once it has read the operators' table in a new era; no copy is older than that. Test failed before: TestRowOfARouterThatTheStoreLostIsWrittenAgain.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -51,6 +51,7 @@
 	metricsPeriod            = 5 * time.Second        // between reports to the metrics registry
 	registerTimeout          = time.Second
 	registerRetryDelay       = 300 * time.Millisecond
+	registerMemory           = time.Minute            // after which a copy that the store comes back from has this router's row
 	exitMargin               = 700 * time.Millisecond // left for the exit before the platform kills the process
 	backgroundStopTimeout    = 500 * time.Millisecond // for the other parts to end once all callers are served
 	usedLimitFraction        = 0.85                   // of each fleet limit that routers use, since requests may be delayed on their way
@@ -80,10 +81,11 @@
 	readyListener  net.Listener
 	metricsHandler fasthttp.RequestHandler
 
-	incarnation  uint64       // start time in Unix nanoseconds
-	leaving      atomic.Bool  // the stop has begun
-	knownRouters atomic.Int64 // number of routers that were listed, or sent a summary, since the start, with this one
-	passive      atomic.Bool  // other routers of the zone poll the store for this one
+	incarnation  uint64        // start time in Unix nanoseconds
+	leaving      atomic.Bool   // the stop has begun
+	knownRouters atomic.Int64  // number of routers that were listed, or sent a summary, since the start, with this one
+	passive      atomic.Bool   // other routers of the zone poll the store for this one
+	restored     chan struct{} // holds one element if the store has come back from a copy since this router's row was written
 	done         chan struct{}
 }
 
@@ -94,7 +96,7 @@
 	g := &Gateway{
 		settings: s, logger: logger.With().Str("vm", s.VM).Logger(), done: make(chan struct{}),
 		store: platform.NewStoreClient(s.StoreAddress), currentConfig: route.NewCurrentTable(),
-		incarnation: uint64(time.Now().UnixNano()),
+		incarnation: uint64(time.Now().UnixNano()), restored: make(chan struct{}, 1),
 	}
 	g.initMetrics()
 	if err := g.initParts(); err != nil {
@@ -170,7 +172,7 @@
 func (g *Gateway) newFollower(table string, t follow.Table, wait func() time.Duration) *follow.Follower {
 	return follow.New(follow.Options{
 		Name: table, Source: g.store, Table: t, PollWait: wait, Timeout: storeTimeout, PollDelay: g.pollDelay, ReadDelay: g.readDelay,
-		Passive: g.passive.Load, OnChange: func() { g.gossip.SendUpdate() }, OnRestore: func() { g.gossip.SendUpdate() }, Clock: boottime, Logger: g.logger,
+		Passive: g.passive.Load, OnChange: func() { g.gossip.SendUpdate() }, OnRestore: func() { g.storeRestored(table) }, Clock: boottime, Logger: g.logger,
 	})
 }
 
@@ -180,6 +182,19 @@
 	return rand.N(min(maxReadDelay, time.Duration(1+g.knownRouters.Load())*pollDelayPerRouter))
 }
 
+// storeRestored has this router tell the others of the store's new era, in which it has read a table, and write its row
+// again.
+func (g *Gateway) storeRestored(table string) {
+	g.gossip.SendUpdate()
+	if table != platform.OperatorTable {
+		return // once is enough
+	}
+	select {
+	case g.restored <- struct{}{}:
+	default: // the row is written again anyway
+	}
+}
+
 // configPollWait returns the longest time of the next long poll for the configuration. It
 // is random, so that routers that started together do not poll together.
 func (g *Gateway) configPollWait() time.Duration {
@@ -302,19 +317,30 @@
 }
 
 // register writes this router's address to the store and reads the addresses of the other
-// routers. It retries until both succeed or the context ends.
+// routers. If the store comes back from a copy that may lack the row, it writes the row again.
 func (g *Gateway) register(ctx context.Context) error {
-	written := false
-	for ctx.Err() == nil {
-		var err error
-		if !written {
-			err = g.store.Put(platform.RouterTable, g.settings.VM, []byte(g.gossip.Address()), registerTimeout)
-			written = err == nil
+	g.retryRegistration(ctx, g.writeAddress)
+	writtenAt := boottime()
+	g.retryRegistration(ctx, g.addRegisteredRouters)
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-g.restored:
 		}
-		if written {
-			if err = g.addRegisteredRouters(); err == nil {
-				return nil
-			}
+		if boottime()-writtenAt < registerMemory {
+			g.retryRegistration(ctx, g.writeAddress)
+			writtenAt = boottime()
+		}
+	}
+}
+
+// retryRegistration calls a step of the registration until it succeeds or the context ends.
+func (g *Gateway) retryRegistration(ctx context.Context, step func() error) {
+	for ctx.Err() == nil {
+		err := step()
+		if err == nil {
+			return
 		}
 		g.logger.Warn().Err(err).Msg("registration-failed")
 		select {
@@ -322,7 +348,11 @@
 		case <-time.After(registerRetryDelay):
 		}
 	}
-	return nil
+}
+
+// writeAddress writes this router's address to the store.
+func (g *Gateway) writeAddress() error {
+	return g.store.Put(platform.RouterTable, g.settings.VM, []byte(g.gossip.Address()), registerTimeout)
 }
 
 // addRegisteredRouters adds the routers that the store lists to those that gossip reaches.
--- a/gateway/restored_test.go
+++ b/gateway/restored_test.go
@@ -59,8 +59,27 @@
 	if !s.logged("store-restored", `"table":"op"`) || !second.logged("store-restored", `"table":"servers"`) {
 		t.Errorf("got no log line that the store came back; log:\n%s", s.logs)
 	}
+	if !s.store.Row("routers", "router-1") || !s.store.Row("routers", "router-2") {
+		t.Error("got a store without the rows of routers")
+	}
+}
+
+func TestRowOfARouterThatTheStoreLostIsWrittenAgain(t *testing.T) {
+	s := newTestbed(t, deskService)
+	s.startServer("i-1", "desk", 0)
+	s.waitReady()
+	restore := s.store.Copy()
+	second := *s
+	second.gateway, second.logs, second.stop = startGateway(t, s.store, "router-2")
+	defer second.stop()
+	second.waitReady()
+	restore()
+	if !eventually(5*time.Second, func() bool { return s.store.Row("routers", "router-2") }) {
+		t.Error("got no row of a router 5 s after the store had come back without it")
+	}
 }
 
+// A key is taken away, and the store forgets that. A router that starts meanwhile knows the older configuration only.
 func TestKeyTakenAwayStaysAwayWhenTheStoreForgetsIt(t *testing.T) {
 	s := newTestbed(t, deskService)
 	desk := s.startServer("i-1", "desk", 0)
