An error of the next server no longer ends up in a stream that has begun

A resumable stream broke off and the next server answered with an error: the caller found its head and text between the chunks (MIXED, ORDER), and an answer of length 0, or one that ended before its first event, ended the stream as if it were complete. Cause: attempt passed every answer other than 200 to forwardResponse, whatever had been written; finishStream counted the events of all runs together. Change: once a response has begun only a stream continues it; anything else is a failed run, to be tried again or broken off. A run without events is complete only if its chunks say so.

--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -226,6 +226,45 @@
 	}
 }
 
+// exchange sends a request without a body on a connection of its own and returns all bytes that come until the gateway
+// closes it.
+func (s *testbed) exchange(path string) string {
+	s.t.Helper()
+	c, err := net.Dial("tcp4", s.gateway.Address())
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	defer c.Close()
+	c.SetDeadline(time.Now().Add(5 * time.Second))
+	fmt.Fprintf(c, "POST %s HTTP/1.1\r\nHost: site.example\r\nAttempt-Id: id-%d\r\nX-Api-Key: key-1\r\nConnection: close\r\nContent-Length: 0\r\n\r\n", path, time.Now().UnixNano())
+	b, err := io.ReadAll(c)
+	if err != nil {
+		s.t.Errorf("got %v, want the connection closed by the gateway", err)
+	}
+	return string(b)
+}
+
+// The next server's error was written into the stream, with its head, or ended it as if it were complete.
+func TestStreamThatHasBegunIsNotEndedByAnotherServersError(t *testing.T) {
+	for _, next := range []platformtest.Behaviour{platformtest.FailWith500, platformtest.Decline, platformtest.OmitSeal, platformtest.AnswerEmpty, platformtest.EndBeforeEvents} {
+		s := newTestbed(t, modelsService)
+		one, two := s.startServer("i-1", "models", 12), s.startServer("i-2", "models", 12)
+		s.waitReady()
+		one.SetFollowing(platformtest.DisconnectMidStream, next)
+		two.SetFollowing(platformtest.DisconnectMidStream, next)
+		got := s.exchange("/models/x")
+		if n := len(one.Received()) + len(two.Received()); n != 2 {
+			t.Fatalf("behaviour %d: got %d requests at the servers, want 2", next, n)
+		}
+		if strings.Count(got, "HTTP/1.1 ") != 1 || strings.Contains(got, "failed") || strings.Count(got, "id: ") != 1 {
+			t.Errorf("behaviour %d: got %q, want one head and the one event that was whole", next, got)
+		}
+		if strings.HasSuffix(got, "0\r\n\r\n") {
+			t.Errorf("behaviour %d: got a stream that looks complete, want it broken off", next)
+		}
+	}
+}
+
 var migratableService = platformtest.Service("models", "stream", 1, map[string]any{
 	"engine": map[string]any{"slots": 8, "kv_capacity": 444000, "moves": true},
 })
--- a/ingress/attempt.go
+++ b/ingress/attempt.go
@@ -41,6 +41,10 @@
 	if x.stream != nil && status == http.StatusOK {
 		return x.forwardStream(ctx, g, ex)
 	}
+	if x.response.started { // no other answer fits into the stream that the caller has got so far
+		x.endGrant(g, placement.ServerError)
+		return x.rerunAllowed(), &result{status: 502, cause: causeBroken}
+	}
 	return x.forwardResponse(ctx, g, ex)
 }
 
--- a/ingress/stream.go
+++ b/ingress/stream.go
@@ -58,6 +58,7 @@
 		s.readBuffer = make([]byte, streamReadBytes)
 	}
 	s.partial, s.inEvent, s.afterLF = s.partial[:0], false, false
+	eventsBefore := s.events
 	first := true
 	for {
 		n, err := ex.Read(s.readBuffer)
@@ -77,7 +78,7 @@
 		}
 		switch {
 		case errors.Is(err, io.EOF):
-			return x.finishStream(g, ex)
+			return x.finishStream(g, ex, s.events > eventsBefore)
 		case err != nil:
 			return x.streamError(ctx, g, err)
 		}
@@ -222,7 +223,7 @@
 		}
 		switch {
 		case errors.Is(err, io.EOF) && len(s.partial) == 0:
-			_, v := x.finishStream(g, ex)
+			_, v := x.finishStream(g, ex, true)
 			return true, v
 		case err != nil:
 			return false, nil
@@ -289,11 +290,11 @@
 	return "", false
 }
 
-// finishStream ends the call after the backend server ended the stream. It returns what
-// attempt returns.
-func (x *call) finishStream(g *placement.Grant, ex *upstream.Exchange) (retry bool, v *result) {
+// finishStream ends the call after the backend server ended the stream; answered says whether its run had events. One
+// without is complete only if the answer says by chunks that it is. It returns what attempt returns.
+func (x *call) finishStream(g *placement.Grant, ex *upstream.Exchange, answered bool) (retry bool, v *result) {
 	s := x.stream
-	if s.inEvent || s.events == 0 && ex.EndsWithConnection() {
+	if s.inEvent || !answered && (ex.EndsWithConnection() || x.response.started && !ex.Chunked()) {
 		return x.streamError(context.Background(), g, io.ErrUnexpectedEOF)
 	}
 	x.endGrant(g, placement.Done)
--- a/upstream/exchange.go
+++ b/upstream/exchange.go
@@ -189,6 +189,9 @@
 	return x.response.ContentLength < 0 && len(x.response.TransferEncoding) == 0
 }
 
+// Chunked reports whether the response is sent in chunks, of which the last one tells that it is complete.
+func (x *Exchange) Chunked() bool { return len(x.response.TransferEncoding) > 0 }
+
 // Header returns the header of the response.
 func (x *Exchange) Header() http.Header { return x.response.Header }
 
