A refusal on a kept connection counts only if it names the request

Cause: readHead took an answer without an ID for that of the request, and declined believed its Not-Executed. Change: on a connection that carried another request an answer without an ID ends the exchange as broken: it may have run. A second send of a request to the same server, after a migration that failed, goes over a connection of its own, since an answer with its ID may be that to the first. What arrives before a request is written condemned the connection before; answers that name other requests were skipped before. Test failed before: TestRefusalOfAnEarlierRequestIsNotBelieved (4 of 4 requests refused, each run at two servers). TestSecondRequestWithTheSameIDGetsAConnectionOfItsOwn is of the new option.

--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -194,6 +194,32 @@
 	}
 }
 
+// A faulty server wrote an earlier refusal once more, before its answer to a request that it ran.
+func TestRefusalOfAnEarlierRequestIsNotBelieved(t *testing.T) {
+	s := newTestbed(t, platformtest.Service("orders", "non_idempotent", 2, nil))
+	one, two := s.startServer("i-1", "orders", 0), s.startServer("i-2", "orders", 0)
+	s.waitReady()
+	for range 20 { // until a kept connection to each server carried one
+		s.send("POST", "/orders/x", "order")
+	}
+	for n := range 4 {
+		one.SetDefaultBehaviour(platformtest.RepeatRefusal)
+		two.SetDefaultBehaviour(platformtest.RepeatRefusal)
+		before := len(one.Received()) + len(two.Received())
+		if a := s.send("POST", "/orders/x", "order"); a.status == 503 {
+			t.Errorf("request %d: got 503, which says that it has not run, want no such promise", n)
+		}
+		if got := len(one.Received()) + len(two.Received()) - before; got != 1 {
+			t.Errorf("request %d: got it at servers %d times, want once", n, got)
+		}
+		one.SetDefaultBehaviour(platformtest.Succeed)
+		two.SetDefaultBehaviour(platformtest.Succeed)
+		for range 10 {
+			s.send("POST", "/orders/x", "order")
+		}
+	}
+}
+
 func TestExtraResponseIsDiscarded(t *testing.T) {
 	s := newTestbed(t, deskService)
 	b := s.startServer("i-1", "desk", 0)
--- a/ingress/attempt.go
+++ b/ingress/attempt.go
@@ -8,6 +8,7 @@
 	"io"
 	"net/http"
 	"net/textproto"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -53,6 +54,8 @@
 func (x *call) send(ctx context.Context, g *placement.Grant) (*upstream.Exchange, error) {
 	r := x.buildRequest(g)
 	r.Abandoned = func() bool { return x.conn.closedByCaller() || x.quarantined() }
+	r.NewConnection = slices.Contains(x.sentTo, g.ID())
+	x.sentTo = append(x.sentTo, g.ID())
 	ex, err := x.flow.Upstream.Send(ctx, g.Address(), r)
 	if err == nil && ex.Status() != http.StatusMisdirectedRequest { // that one would be from another server
 		c := g.RecordStatement(time.Now(), x.flow.Headers.statementOf(ex.Status(), ex.Header()))
--- a/ingress/flow.go
+++ b/ingress/flow.go
@@ -109,8 +109,9 @@
 	identity         quarantine.Identity
 	hold             *quarantine.Hold // why the request must not run, once that was found
 	placementRequest *placement.Request
-	attempts         int  // failed attempts so far, without those on unreachable backend servers
-	mayHaveRun       bool // some backend server may have run the request
+	attempts         int      // failed attempts so far, without those on unreachable backend servers
+	sentTo           []string // IDs of the backend servers that the request was to be sent to, in order
+	mayHaveRun       bool     // some backend server may have run the request
 	lastFailure      *result
 	stream           *stream
 
--- a/upstream/exchange.go
+++ b/upstream/exchange.go
@@ -27,6 +27,10 @@
 	// for longer than Options.NonRepeatableMaxIdle, as the server may have closed it.
 	NonRepeatable bool
 
+	// The request must be the first one on its connection, since the server has had one with the same ID before: its
+	// answer to that one must not be taken for the answer to this.
+	NewConnection bool
+
 	// Abandoned, if not nil, is called once a connection is ready, just before the request is
 	// written. If it reports true, nobody waits for the response, and the request is not sent.
 	Abandoned func() bool
@@ -77,6 +81,7 @@
 	errBodyTooLong     = errors.New("response body is longer than allowed")
 	errTooMuchBuffered = errors.New("response bodies that are read at the same time are longer than allowed")
 	errNotHTTP1        = errors.New("response is not HTTP/1")
+	errNoID            = errors.New("response on a connection that carried another request does not say which it is for")
 )
 
 // MaxInlineBodyBytes is the length of the longest request body that is written together
@@ -110,7 +115,7 @@
 // the exchange is closed, the connection is closed, also while the response body is
 // read. The error is a *DialError, a *ResponseError or ErrAbandoned.
 func (p *Pool) Send(ctx context.Context, address string, r *Request) (*Exchange, error) {
-	c, err := p.get(ctx, address, r.NonRepeatable)
+	c, err := p.get(ctx, address, r)
 	if err != nil {
 		return nil, &DialError{address, err}
 	}
@@ -151,7 +156,8 @@
 
 // readHead reads the head of the response. It skips interim responses and late
 // responses to earlier requests, and fails if there are more than maxSkippedResponses, or if a
-// head is longer than maxResponseHeadBytes.
+// head is longer than maxResponseHeadBytes. A response without an ID may be to any request that the connection carried,
+// so only that on a new connection is the response to this one.
 func (x *Exchange) readHead(r *Request) error {
 	defer x.conn.limitReads(noReadLimit)
 	for range maxSkippedResponses + 1 {
@@ -174,6 +180,9 @@
 			}
 			continue
 		}
+		if id == "" && r.ID != "" && x.reused {
+			return errNoID
+		}
 		x.response = resp
 		return nil
 	}
--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -156,14 +156,16 @@
 	return err == nil && openAndEmpty
 }
 
-// get returns a connection for one request: an idle one if there is a usable one, or
+// get returns a connection for a request: an idle one if there is a usable one and the request allows it, or
 // else a new one. It fails if the address cannot be dialed.
-func (p *Pool) get(ctx context.Context, address string, nonRepeatable bool) (*conn, error) {
-	if c := p.takeIdle(address, time.Now(), nonRepeatable); c != nil {
-		p.mu.Lock()
-		p.reused++
-		p.mu.Unlock()
-		return c, nil
+func (p *Pool) get(ctx context.Context, address string, r *Request) (*conn, error) {
+	if !r.NewConnection {
+		if c := p.takeIdle(address, time.Now(), r.NonRepeatable); c != nil {
+			p.mu.Lock()
+			p.reused++
+			p.mu.Unlock()
+			return c, nil
+		}
 	}
 	netConn, err := p.dialer.DialContext(ctx, "tcp4", address)
 	if err != nil {
@@ -247,7 +249,6 @@
 func (p *Pool) BufferedBytes() int64 { return p.buffered.Load() }
 
 // Counts returns how many connections were dialed and how often an idle one was reused.
-// Nothing calls it.
 func (p *Pool) Counts() (dials, reuses int) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/upstream/upstream_test.go
+++ b/upstream/upstream_test.go
@@ -88,6 +88,8 @@
 		{"connection reuse", []string{validResponse, validResponse}, []string{"r0", "r1"}, 1},
 		{"second response to one request", []string{validResponse + validResponse, validResponse}, []string{"r0", "r1"}, 2},
 		{"late response to an earlier request", []string{validResponse, "HTTP/1.1 200 OK\r\nId: old\r\nContent-Length: 2\r\n\r\nno" + validResponse}, []string{"r0", "r1"}, 1},
+		{"earlier refusal once more, without an ID", []string{validResponse, "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 2\r\n\r\nno" + validResponse, validResponse}, []string{"r0", "broken", "r2"}, 2},
+		{"refusal without an ID on a new connection", []string{"HTTP/1.1 400 Bad Request\r\nContent-Length: 2\r\n\r\nno"}, []string{"no"}, 1},
 		{"only responses to other requests", []string{strings.Repeat("HTTP/1.1 200 OK\r\nId: old\r\nContent-Length: 0\r\n\r\n", 4)}, []string{"broken"}, 1},
 		{"truncated body", []string{"HTTP/1.1 200 OK\r\nId: ID\r\nContent-Length: 9\r\n\r\nID", ""}, []string{"broken"}, 1},
 		{"truncated chunk", []string{"HTTP/1.1 200 OK\r\nId: ID\r\nTransfer-Encoding: chunked\r\n\r\n9\r\nab", ""}, []string{"broken"}, 1},
@@ -167,3 +169,23 @@
 		})
 	}
 }
+
+// The server wrote its answer to the first of two requests with one ID again, as the answer to the second.
+func TestSecondRequestWithTheSameIDGetsAConnectionOfItsOwn(t *testing.T) {
+	address, _ := startServer(t, validResponse, validResponse)
+	options := upstream.DefaultOptions
+	options.DialTimeout = 100 * time.Millisecond
+	p := upstream.NewPool(options, "")
+	defer p.Close()
+	if _, err := send(p, address, "r0"); err != nil {
+		t.Fatal(err)
+	}
+	r := newRequest("r0")
+	r.NewConnection = true
+	ctx, cancel := context.WithTimeout(context.Background(), 100*time.Millisecond)
+	defer cancel()
+	p.Send(ctx, address, r) // the server answers on one connection at a time
+	if dials, reuses := p.Counts(); dials != 2 || reuses != 0 {
+		t.Errorf("got %d connections and %d reuses for two requests with one ID, want 2 and none", dials, reuses)
+	}
+}
