Odd entries of backend servers are refused, and do not take away a server that serves

One that could not be read under the name of a sound server removed that at once (LOST). Deep nesting and ports out of range were refused before; no way was found to end a router by an entry.

--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -116,6 +116,29 @@
 	}
 }
 
+// Something else wrote under the name of a server, which served on and wrote its entry again soon.
+func TestServerServesOnBesideAnOddEntryUnderItsName(t *testing.T) {
+	s := newTestbed(t, deskService)
+	b := s.startServer("i-1", "desk", 0)
+	s.waitReady()
+	s.store.Put("servers", "i-1", []byte(`{"service":"desk","addr":"127.0.0.1:70000","state":"ready"}`))
+	s.waitLogged("server-entry-refused")
+	for range 20 {
+		if a := s.send("GET", "/desk/x", ""); a.status != 200 {
+			t.Fatalf("got %d right after an odd entry under the name of the server, want 200", a.status)
+		}
+	}
+	s.putEntry(b, "ready")
+	time.Sleep(2500 * time.Millisecond)
+	if a := s.send("GET", "/desk/x", ""); a.status != 200 {
+		t.Errorf("got %d from the server that has written its entry again, want 200", a.status)
+	}
+	s.store.Put("servers", "i-1", []byte("odd"))
+	if !eventually(4*time.Second, func() bool { return s.send("GET", "/desk/x", "").status == 503 }) {
+		t.Error("got a server used 4 s after its entry was spoiled for good, want it removed")
+	}
+}
+
 func TestServersDrainingOrInZoneOutOfServiceGetNoRequests(t *testing.T) {
 	s := newTestbed(t, deskService)
 	one, two := s.startServer("i-1", "desk", 0), s.startServer("i-2", "desk", 0)
--- a/gateway/servertable.go
+++ b/gateway/servertable.go
@@ -118,7 +118,8 @@
 	s.apply(rows)
 }
 
-// apply applies changed entries. One that cannot be used counts as missing.
+// apply applies changed entries. One that cannot be used names no server. If its key is that of a server that serves,
+// something else wrote there, and the server writes its entry again unless it is gone.
 func (s *serverTable) apply(rows []follow.Row) {
 	for _, r := range rows {
 		delete(s.doubts, r.Key)
@@ -129,7 +130,9 @@
 		e, err := platform.DecodeServerEntry(r.Key, r.Value)
 		if err != nil {
 			s.logger.Warn().Err(err).Uint64("row_version", r.Version).Msg("server-entry-refused")
-			s.handleMissing(r.Key, r.Version)
+			if _, ok := s.started[r.Key]; ok {
+				s.keep(time.Now(), r.Key, r.Version)
+			}
 			continue
 		}
 		delete(s.kept, r.Key)
