--- a/follow/follow.go
+++ b/follow/follow.go
@@ -183,11 +183,11 @@
 		case errors.Is(err, errNewEra):
 			f.awaitRead()
 		case errors.Is(err, ErrHistoryDropped):
-			f.log("store-history-dropped")
+			f.event().Msg("store-history-dropped")
 			f.invalidate()
 			backOff, dropped = dropped, true // dropped again right after it was read: the store reads old states
 		case errors.Is(err, errStaleAnswer):
-			f.log("store-answer-stale")
+			f.event().Msg("store-answer-stale")
 			backOff = true
 		default:
 			f.recordFailure(err)
@@ -205,10 +205,10 @@
 	return nil
 }
 
-// log logs what has come to the table, with its position.
-func (f *Follower) log(message string) {
+// event returns a log event with the position of the table.
+func (f *Follower) event() *zerolog.Event {
 	p := f.Position()
-	f.options.Logger.Info().Str("table", f.options.Name).Uint64("era", p.Era).Uint64("version", p.Version).Msg(message)
+	return f.options.Logger.Info().Str("table", f.options.Name).Uint64("era", p.Era).Uint64("version", p.Version)
 }
 
 // rest returns how long the follower makes no call now: as long as others poll the store for it, or until it is its turn to
@@ -274,7 +274,7 @@
 	f.confirm(began, b, 0)
 	f.recordSuccess()
 	if newEra {
-		f.log("store-restored")
+		f.event().Msg("store-restored")
 		if f.options.OnRestore != nil {
 			f.options.OnRestore()
 		}
@@ -445,7 +445,7 @@
 // recordSuccess records a successful call and logs it if the call before failed.
 func (f *Follower) recordSuccess() {
 	if f.failing {
-		f.log("store-read-recovered")
+		f.event().Msg("store-read-recovered")
 	}
 	f.failing = false
 }
