--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -49,9 +49,6 @@
 	dispatchPeriod           = 8 * time.Millisecond
 	closeExpiredPeriod       = 500 * time.Millisecond // between checks for expired connections to backend servers
 	metricsPeriod            = 5 * time.Second        // between reports to the metrics registry
-	registerTimeout          = time.Second
-	registerRetryDelay       = 300 * time.Millisecond
-	registerMemory           = time.Minute            // after which a copy that the store comes back from has this router's row
 	exitMargin               = 700 * time.Millisecond // left for the exit before the platform kills the process
 	backgroundStopTimeout    = 500 * time.Millisecond // for the other parts to end once all callers are served
 	usedLimitFraction        = 0.85                   // of each fleet limit that routers use, since requests may be delayed on their way
@@ -182,19 +179,6 @@
 	return rand.N(min(maxReadDelay, time.Duration(1+g.knownRouters.Load())*pollDelayPerRouter))
 }
 
-// storeRestored has this router tell the others of the store's new era, in which it has read a table, and write its row
-// again.
-func (g *Gateway) storeRestored(table string) {
-	g.gossip.SendUpdate()
-	if table != platform.OperatorTable {
-		return // once is enough
-	}
-	select {
-	case g.restored <- struct{}{}:
-	default: // the row is written again anyway
-	}
-}
-
 // configPollWait returns the longest time of the next long poll for the configuration. It
 // is random, so that routers that started together do not poll together.
 func (g *Gateway) configPollWait() time.Duration {
@@ -316,57 +300,6 @@
 	return nil
 }
 
-// register writes this router's address to the store and reads the addresses of the other
-// routers. If the store comes back from a copy that may lack the row, it writes the row again.
-func (g *Gateway) register(ctx context.Context) error {
-	g.retryRegistration(ctx, g.writeAddress)
-	writtenAt := boottime()
-	g.retryRegistration(ctx, g.addRegisteredRouters)
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-g.restored:
-		}
-		if boottime()-writtenAt < registerMemory {
-			g.retryRegistration(ctx, g.writeAddress)
-			writtenAt = boottime()
-		}
-	}
-}
-
-// retryRegistration calls a step of the registration until it succeeds or the context ends.
-func (g *Gateway) retryRegistration(ctx context.Context, step func() error) {
-	for ctx.Err() == nil {
-		err := step()
-		if err == nil {
-			return
-		}
-		g.logger.Warn().Err(err).Msg("registration-failed")
-		select {
-		case <-ctx.Done():
-		case <-time.After(registerRetryDelay):
-		}
-	}
-}
-
-// writeAddress writes this router's address to the store.
-func (g *Gateway) writeAddress() error {
-	return g.store.Put(platform.RouterTable, g.settings.VM, []byte(g.gossip.Address()), registerTimeout)
-}
-
-// addRegisteredRouters adds the routers that the store lists to those that gossip reaches.
-func (g *Gateway) addRegisteredRouters() error {
-	batch, err := g.store.Rows(platform.RouterTable, registerTimeout)
-	if err != nil {
-		return err
-	}
-	for _, r := range batch.Rows {
-		g.gossip.Add(r.Key, string(r.Value))
-	}
-	return nil
-}
-
 // dispatch periodically removes backend servers whose entries are missing for too long, and
 // assigns waiting requests to backend servers.
 func (g *Gateway) dispatch(ctx context.Context) error {
--- a/gateway/leaving_test.go
+++ b/gateway/leaving_test.go
@@ -31,9 +31,7 @@
 	leaving := s.startServer("i-1", "desk", 0)
 	s.startServer("i-2", "desk", 0)
 	s.waitReady()
-	second := *s
-	second.gateway, second.logs, second.stop = startGateway(t, s.store, "router-2")
-	defer second.stop()
+	second := s.startSecondRouter()
 	second.waitReady()
 	time.Sleep(300 * time.Millisecond) // until the routers have heard of each other
 	leaving.SayLeaving()
--- a/gateway/restored_test.go
+++ b/gateway/restored_test.go
@@ -41,9 +41,7 @@
 	s := newTestbed(t, deskService)
 	s.startServer("i-1", "desk", 0)
 	s.waitReady()
-	second := *s
-	second.gateway, second.logs, second.stop = startGateway(t, s.store, "router-2")
-	defer second.stop()
+	second := s.startSecondRouter()
 	second.waitReady()
 	time.Sleep(300 * time.Millisecond) // until the routers have heard of each other
 	restore := s.store.Copy()
@@ -69,9 +67,7 @@
 	s.startServer("i-1", "desk", 0)
 	s.waitReady()
 	restore := s.store.Copy()
-	second := *s
-	second.gateway, second.logs, second.stop = startGateway(t, s.store, "router-2")
-	defer second.stop()
+	second := s.startSecondRouter()
 	second.waitReady()
 	restore()
 	if !eventually(5*time.Second, func() bool { return s.store.Row("routers", "router-2") }) {
@@ -90,13 +86,11 @@
 	s.waitLogged("configuration-adopted", `"version":2`)
 	restore()
 	s.waitLogged("store-restored", `"table":"op"`)
-	second := *s
-	second.gateway, second.logs, second.stop = startGateway(t, s.store, "router-2")
-	defer second.stop()
+	second := s.startSecondRouter()
 	second.waitLogged("configuration-adopted", `"version":1`)
 	time.Sleep(2 * time.Second) // until what was confirmed before counts no more
 	for end := time.Now().Add(2 * time.Second); time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
-		for _, router := range []*testbed{s, &second} {
+		for _, router := range []*testbed{s, second} {
 			for _, key := range []string{"key-1", "key-2"} {
 				if a := router.send("GET", "/desk/x", "", "X-Api-Key", key); a.status != 503 {
 					t.Fatalf("got %d for %q while the store holds an older configuration, want 503; log:\n%s", a.status, key, router.logs)
@@ -108,7 +102,7 @@
 		t.Errorf("got %d requests at the server, want none", got)
 	}
 	s.store.Put("op", "config", newer)
-	for _, router := range []*testbed{s, &second} {
+	for _, router := range []*testbed{s, second} {
 		if !eventually(5*time.Second, func() bool { return router.send("GET", "/desk/x", "", "X-Api-Key", "key-2").status == 200 }) {
 			t.Error("got no answer of 200 in 5 s after the configuration was written again")
 		}
--- a/gateway/testbed_test.go
+++ b/gateway/testbed_test.go
@@ -92,6 +92,15 @@
 	return s
 }
 
+// startSecondRouter starts another gateway of the same store, and returns the testbed with that one.
+func (s *testbed) startSecondRouter() *testbed {
+	s.t.Helper()
+	second := *s
+	second.gateway, second.logs, second.stop = startGateway(s.t, s.store, "router-2")
+	s.t.Cleanup(second.stop)
+	return &second
+}
+
 // startServer starts a backend server of a service and lists it in the store. The streams
 // of the backend server have the given number of events; 0 is for a service without streams.
 func (s *testbed) startServer(id, service string, events int) *platformtest.Server {
