Two requests that crash servers and share a crash are both held

Cause: of two suspects with as many crashes the one with the lower digest took the shared crash off the other. Change: a whole request is held with three crashes of which two are unexplained, and among equals the one that is held goes first. Test failed before: TestTwoRequestsThatCrashServersAndShareACrashAreBothHeld.

--- a/quarantine/convict.go
+++ b/quarantine/convict.go
@@ -64,37 +64,51 @@
 	}
 }
 
+// candidate is an accused suspect that may be convicted.
+type candidate struct {
+	suspect Suspect
+	record  *record
+	crashes int  // that no convicted suspect explains
+	held    bool // it is held so far
+}
+
 // likeliest returns the suspect to be convicted next, and false if the crashes that are not explained
-// convict none. One that never ran without harm goes first, then the one with most crashes, then the
-// one that comes last in its prompts, which fewest requests share.
+// convict none.
 func (q *Quarantine) likeliest(now time.Time, accused []Suspect, explained map[Crash]bool) (Suspect, bool) {
-	var best Suspect
-	var bestRecord *record
-	bestCrashes := 0
+	var best candidate
 	for _, s := range accused {
-		rec := q.records[s]
-		crashes := len(rec.counted(now, s.Part != "", explained))
-		if crashes < crashesToHold {
-			continue
-		}
-		if bestRecord == nil || goesBefore(s, rec, crashes, best, bestRecord, bestCrashes) {
-			best, bestRecord, bestCrashes = s, rec, crashes
+		c := candidate{suspect: s, record: q.records[s], held: q.held[s] != nil}
+		c.crashes = len(c.record.counted(now, s.Part != "", explained))
+		if c.crashes >= unexplainedToHold(s) && (best.record == nil || c.goesBefore(best)) {
+			best = c
 		}
 	}
-	return best, bestRecord != nil
+	return best.suspect, best.record != nil
+}
+
+// unexplainedToHold returns how many of the crashes that a suspect is accused of must be unexplained. A whole request is in few
+// crashes but its own, so that one of them may be another request's, too: two that crash servers may end one together.
+func unexplainedToHold(s Suspect) int {
+	if s.Part == "" {
+		return crashesToHold - 1
+	}
+	return crashesToHold
 }
 
-// goesBefore reports whether suspect a is convicted before suspect b.
-func goesBefore(a Suspect, ra *record, crashesA int, b Suspect, rb *record, crashesB int) bool {
+// goesBefore reports whether c is convicted before b: first one that never ran without harm, then the one with
+// most crashes, then the one that comes last in its prompts, which fewest requests share, then the one that is held.
+func (c candidate) goesBefore(b candidate) bool {
 	switch {
-	case ra.ranBefore != rb.ranBefore:
-		return !ra.ranBefore
-	case crashesA != crashesB:
-		return crashesA > crashesB
-	case ra.depth != rb.depth:
-		return ra.depth > rb.depth
+	case c.record.ranBefore != b.record.ranBefore:
+		return !c.record.ranBefore
+	case c.crashes != b.crashes:
+		return c.crashes > b.crashes
+	case c.record.depth != b.record.depth:
+		return c.record.depth > b.record.depth
+	case c.held != b.held:
+		return c.held
 	}
-	return compareSuspects(a, b) < 0
+	return compareSuspects(c.suspect, b.suspect) < 0
 }
 
 // counted returns the accusations that count: those that are neither cleared, expired nor explained. Of
--- a/quarantine/quarantine_test.go
+++ b/quarantine/quarantine_test.go
@@ -219,6 +219,27 @@
 	}
 }
 
+// Each of them took the shared crash off the other in turn, and so released it.
+func TestTwoRequestsThatCrashServersAndShareACrashAreBothHeld(t *testing.T) {
+	for _, digests := range [][2]uint64{{300, 200}, {200, 300}} {
+		q := quarantine.New()
+		now := time.Unix(1e9, 0)
+		first, second := quarantine.Identity{Digest: digests[0]}, quarantine.Identity{Digest: digests[1]}
+		for n, running := range [][]quarantine.Identity{{first}, {first}, {first, second}, {second}, {second}} {
+			now = now.Add(time.Second)
+			for _, r := range running {
+				q.RecordCrash(now, quarantine.Crash{Server: "i", StartedMs: int64(n)}, work, r)
+			}
+			if n >= 2 && q.Held(first) == nil {
+				t.Errorf("digests %v: got the first request not held after %d crashes in all", digests, n+1)
+			}
+		}
+		if q.Held(second) == nil {
+			t.Errorf("digests %v: got the second request not held after three crashes, of which it shares one", digests)
+		}
+	}
+}
+
 // A request that is sent on at once crashes three servers within the time of one outage.
 func TestRequestThatCrashesServersOneRightAfterTheOtherIsHeldAfterThree(t *testing.T) {
 	one, two := quarantine.New(), quarantine.New()
