A request that ends several servers shortly after each other is held after three

Change: for a whole request that no router has seen complete the time is 10 ms. One that many callers share and that an outage could hit at several servers has mostly completed before; for that one, and for parts, it stays 100 ms. Test failed before: TestRequestThatSeveralServersHadAtOnceIsHeldUnlessItRanBefore.

--- a/quarantine/convict.go
+++ b/quarantine/convict.go
@@ -121,9 +121,13 @@
 		}
 	}
 	slices.SortFunc(list, func(a, b *accusation) int { return cmp.Or(a.at.Compare(b.at), cmp.Compare(a.request, b.request)) })
+	within := simultaneous
+	if !oncePerRequest && !rec.ranBefore {
+		within = simultaneousNew
+	}
 	counted := list[:0]
 	for _, a := range list {
-		if n := len(counted); n > 0 && a.sameOutage(counted[n-1]) {
+		if n := len(counted); n > 0 && a.sameOutage(counted[n-1], within) {
 			continue
 		}
 		if oncePerRequest && slices.ContainsFunc(counted, func(x *accusation) bool { return x.request == a.request }) {
@@ -135,9 +139,9 @@
 }
 
 // sameOutage reports whether a crash may have the same cause as one before it, whatever that is: it came
-// shortly after, and its request had been sent before.
-func (a *accusation) sameOutage(before *accusation) bool {
-	return a.at.Sub(before.at) < simultaneous && a.at.Add(-a.had).Before(before.at.Add(-reportDelay))
+// within a time after that, and its request had been sent before.
+func (a *accusation) sameOutage(before *accusation, within time.Duration) bool {
+	return a.at.Sub(before.at) < within && a.at.Add(-a.had).Before(before.at.Add(-reportDelay))
 }
 
 // compareSuspects orders suspects by part, then by request.
--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -16,6 +16,7 @@
 // Times and bounds of a Quarantine.
 const (
 	simultaneous    = 100 * time.Millisecond // crashes within this time are one outage, unless the later request was sent after the earlier crash
+	simultaneousNew = 10 * time.Millisecond  // the same for a whole request that never completed: it is hardly one that many callers share
 	reportDelay     = 5 * time.Millisecond   // by which a report may shift the times of a crash
 	accusationTime  = 10 * time.Minute       // how long an accusation counts
 	HoldTime        = time.Hour              // how long a suspect in the store's table is held
--- a/quarantine/quarantine_test.go
+++ b/quarantine/quarantine_test.go
@@ -219,6 +219,29 @@
 	}
 }
 
+// Several callers send the request at once, so that it ends servers one shortly after the other.
+func TestRequestThatSeveralServersHadAtOnceIsHeldUnlessItRanBefore(t *testing.T) {
+	for _, ranBefore := range []bool{false, true} {
+		one, two := quarantine.New(), quarantine.New()
+		now := time.Unix(1e9, 0)
+		r := quarantine.Identity{Digest: 7}
+		if ranBefore {
+			two.RecordCompleted(now, r)
+		}
+		for n := range 3 {
+			now = now.Add(20 * time.Millisecond)
+			one.RecordCrash(now, quarantine.Crash{Server: fmt.Sprint("i-", n)}, 100*time.Millisecond, r)
+		}
+		two.Merge(now, one.OwnReports(now), true)
+		one.Merge(now, two.OwnReports(now), true)
+		for _, q := range []*quarantine.Quarantine{one, two} {
+			if got, want := q.Held(r) != nil, !ranBefore; got != want {
+				t.Errorf("completed before: %v: got the request held: %v after three crashes 20 ms apart, want %v", ranBefore, got, want)
+			}
+		}
+	}
+}
+
 // Each of them took the shared crash off the other in turn, and so released it.
 func TestTwoRequestsThatCrashServersAndShareACrashAreBothHeld(t *testing.T) {
 	for _, digests := range [][2]uint64{{300, 200}, {200, 300}} {
