A whole request that never completed is suspended for half a minute after two crashes

Change: two unexplained crashes of a request that no router has seen complete suspend it; a third one holds it as before. Suspension writes no row and ends 30 s after the last crash, so that a sound request that broke off twice by chance comes to no lasting harm; of several with the same crashes one is suspended. Test: TestRequestThatNeverCompletedIsSuspendedAfterTwoCrashes (new behaviour).

--- a/gateway/suspects.go
+++ b/gateway/suspects.go
@@ -80,7 +80,7 @@
 		if c.Held {
 			message = "quarantined"
 		}
-		s.logger.Warn().Stringer("suspect", c.Suspect).Str("from", from).Int("crashes", c.Crashes).Bool("in_store", c.Listed).
+		s.logger.Warn().Stringer("suspect", c.Suspect).Str("from", from).Int("crashes", c.Crashes).Bool("in_store", c.Listed).Bool("suspended", c.Suspended).
 			Dur("held_for_ms", time.Since(c.Since)).Msg(message)
 	}
 	if len(changes) > 0 {
--- a/quarantine/convict.go
+++ b/quarantine/convict.go
@@ -14,8 +14,11 @@
 // explains does not count against another one: what each crash breaks off has sound requests and sound parts, too. The
 // parts at the beginning of a customer's prompts are in all of them, and on a service of few servers a sound request may
 // break off beside the cause again and again.
-func (q *Quarantine) convicted(now time.Time) map[Suspect]bool {
-	convicted := map[Suspect]bool{}
+//
+// It also returns the whole requests to be suspended: two crashes of one that never completed are too few to hold it for
+// long, and enough to spare the third server for a while. Of several with the same crashes one is.
+func (q *Quarantine) convicted(now time.Time) (convicted, suspended map[Suspect]bool) {
+	convicted, suspended = map[Suspect]bool{}, map[Suspect]bool{}
 	explained := map[Crash]bool{}
 	var parts, requests []Suspect
 	for s, rec := range q.records {
@@ -27,20 +30,60 @@
 			requests = append(requests, s)
 		}
 	}
-	q.convict(now, parts, true, convicted, explained)
-	q.convict(now, requests, false, convicted, explained)
-	return convicted
+	q.convictListed(now, parts, true, convicted, explained)
+	q.convict(now, parts, convicted, explained)
+	q.convictListed(now, requests, false, convicted, explained)
+	q.convict(now, requests, convicted, explained)
+	var repeated []Suspect
+	for s, rec := range q.records {
+		if s.Part == "" && !convicted[s] && !rec.ranBefore && rec.lastCrash().After(now.Add(-suspendedTime)) {
+			repeated = append(repeated, s)
+		}
+	}
+	q.convict(now, repeated, suspended, explained)
+	return convicted, suspended
+}
+
+// lastCrash returns when the last crash was that the suspect is accused of and not cleared.
+func (rec *record) lastCrash() (last time.Time) {
+	for _, a := range rec.accusations {
+		if !a.cleared && a.at.After(last) {
+			last = a.at
+		}
+	}
+	return last
 }
 
-// convict adds the convicted ones among the accused, which are all parts or all whole requests, and those of that kind that
-// the store's table lists.
-func (q *Quarantine) convict(now time.Time, accused []Suspect, parts bool, convicted map[Suspect]bool, explained map[Crash]bool) {
+// suspend begins and ends the suspension of whole requests and returns the changes.
+func (q *Quarantine) suspend(now time.Time, suspended map[Suspect]bool) (changes []Change) {
+	for s, h := range q.suspended {
+		if !suspended[s] {
+			delete(q.suspended, s)
+			changes = append(changes, Change{Hold: *h})
+		}
+	}
+	for s := range suspended {
+		if q.suspended[s] == nil {
+			h := &Hold{Suspect: s, Since: now, Crashes: len(q.records[s].accusations), Suspended: true}
+			q.suspended[s] = h
+			changes = append(changes, Change{Hold: *h, Held: true})
+		}
+	}
+	return changes
+}
+
+// convictListed adds the parts, or the whole requests, that the store's table lists, unless they are among the accused.
+func (q *Quarantine) convictListed(now time.Time, accused []Suspect, parts bool, convicted map[Suspect]bool, explained map[Crash]bool) {
 	for s, l := range q.listed {
 		if (s.Part != "") == parts && !l.disproved && !l.lapsed(now) && !slices.Contains(accused, s) {
 			convicted[s] = true
 			q.explain(s, explained)
 		}
 	}
+}
+
+// convict adds the convicted ones among the accused, which are all parts or all whole requests.
+func (q *Quarantine) convict(now time.Time, accused []Suspect, convicted map[Suspect]bool, explained map[Crash]bool) {
 	for {
 		s, ok := q.likeliest(now, accused, explained)
 		if !ok {
--- a/quarantine/doc.go
+++ b/quarantine/doc.go
@@ -11,7 +11,8 @@
 // often they heard it.
 //
 // A part is held after three crashes by different requests that no other held part explains, a whole
-// request after three crashes. If the fleet is split in two, five crashes are at least three on one
+// request after three crashes. A whole request that never completed is suspended for half a minute after two: which of those that
+// broke off is the cause may not be clear then, but it would end a third server. If the fleet is split in two, five crashes are at least three on one
 // side; that side writes a row to the platform's store, which both sides follow. An operator releases
 // a suspect by deleting its row.
 //
--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -21,6 +21,7 @@
 	accusationTime  = 10 * time.Minute       // how long an accusation counts
 	HoldTime        = time.Hour              // how long a suspect in the store's table is held
 	unlistedTime    = time.Minute            // how long it is known that a suspect was unlisted; a copy of the store is some seconds old
+	suspendedTime   = 30 * time.Second       // since its last crash, for which a whole request is suspended
 	clearedTime     = 10 * time.Second       // how long a cleared accusation is remembered, so that a late report of it changes nothing
 	maxSuspects     = 4096
 	maxAccusations  = 16   // of one suspect
@@ -90,7 +91,10 @@
 	Suspect Suspect
 	Since   time.Time // when this router began to hold it, or the store to list it
 	Crashes int       // that it is accused of, as far as this router knows
-	Listed  bool      // the store's table lists it
+
+	// The suspect is held for suspendedTime only, after one crash less than convicts it.
+	Suspended bool
+	Listed    bool // the store's table lists it
 }
 
 // Change is a change of what this router believes of a suspect.
@@ -108,11 +112,12 @@
 
 // Quarantine is one router's knowledge of suspects. It is not safe for concurrent use.
 //
-// Invariant: held follows from records and listed alone, as of the last method that returned changes.
+// Invariant: held and suspended follow from records and listed alone, as of the last method that returned changes.
 type Quarantine struct {
-	records map[Suspect]*record
-	held    map[Suspect]*Hold
-	listed  map[Suspect]*listing
+	records   map[Suspect]*record
+	held      map[Suspect]*Hold
+	suspended map[Suspect]*Hold // whole requests that are not held
+	listed    map[Suspect]*listing
 
 	unlisted map[Suspect]time.Time // when a suspect was released or unlisted, for unlistedTime
 
@@ -125,15 +130,19 @@
 
 // New returns an empty Quarantine.
 func New() *Quarantine {
-	return &Quarantine{records: map[Suspect]*record{}, held: map[Suspect]*Hold{}, listed: map[Suspect]*listing{}, unlisted: map[Suspect]time.Time{}, begun: map[string]bool{}, completed: map[uint64]bool{}}
+	return &Quarantine{records: map[Suspect]*record{}, held: map[Suspect]*Hold{}, suspended: map[Suspect]*Hold{}, listed: map[Suspect]*listing{}, unlisted: map[Suspect]time.Time{}, begun: map[string]bool{}, completed: map[uint64]bool{}}
 }
 
 // Held returns why a request must not run, or nil if it may.
 func (q *Quarantine) Held(r Identity) *Hold {
-	if len(q.held) == 0 {
+	if len(q.held)+len(q.suspended) == 0 {
 		return nil
 	}
-	if h := q.held[Suspect{Request: r.Digest}]; h != nil {
+	whole := Suspect{Request: r.Digest}
+	if h := q.held[whole]; h != nil {
+		return h
+	}
+	if h := q.suspended[whole]; h != nil {
 		return h
 	}
 	for _, id := range r.checkedParts() {
@@ -144,7 +153,7 @@
 	return nil
 }
 
-// Count returns how many suspects are held.
+// Count returns how many suspects are held, without those that are suspended.
 func (q *Quarantine) Count() int { return len(q.held) }
 
 // Accused reports whether the request, or a part of its prompt, is accused of a crash other than c and
@@ -218,8 +227,8 @@
 
 // decide computes which suspects are held and returns the changes, sorted by suspect.
 func (q *Quarantine) decide(now time.Time) []Change {
-	convicted := q.convicted(now)
-	var changes []Change
+	convicted, suspended := q.convicted(now)
+	changes := q.suspend(now, suspended)
 	for s, h := range q.held {
 		if !convicted[s] {
 			delete(q.held, s)
--- a/quarantine/quarantine_test.go
+++ b/quarantine/quarantine_test.go
@@ -219,6 +219,36 @@
 	}
 }
 
+func TestRequestThatNeverCompletedIsSuspendedAfterTwoCrashes(t *testing.T) {
+	q := quarantine.New()
+	now := time.Unix(1e9, 0)
+	r, known := quarantine.Identity{Digest: 7}, quarantine.Identity{Digest: 8}
+	q.RecordCompleted(now, known)
+	for n := range 2 {
+		now = now.Add(time.Second)
+		c := quarantine.Crash{Server: fmt.Sprint("i-", n)}
+		q.RecordCrash(now, c, work, r)
+		q.RecordCrash(now, c, work, known)
+	}
+	if h := q.Held(r); h == nil || !h.Suspended {
+		t.Errorf("got %+v for a request of two crashes, want it suspended", h)
+	}
+	if h := q.Held(known); h != nil {
+		t.Errorf("got %+v for one that completed before, want it sent", h)
+	}
+	if got := q.Unwritten(now.Add(20*time.Second), time.Second); len(got) > 0 {
+		t.Errorf("got %v to be written to the store, want nothing of a suspended one", got)
+	}
+	if q.Tick(now.Add(30 * time.Second)); q.Held(r) != nil {
+		t.Error("got the request suspended 30 s after its last crash, want it sent once more")
+	}
+	now = now.Add(31 * time.Second)
+	q.RecordCrash(now, quarantine.Crash{Server: "i-2"}, work, r)
+	if h := q.Held(r); h == nil || h.Suspended {
+		t.Errorf("got %+v for a request of three crashes, want it held", h)
+	}
+}
+
 // Several callers send the request at once, so that it ends servers one shortly after the other.
 func TestRequestThatSeveralServersHadAtOnceIsHeldUnlessItRanBefore(t *testing.T) {
 	for _, ranBefore := range []bool{false, true} {
