A huge limit of a server no longer leaves one router sending on x86-64

A float beyond an integer's range was converted, whose result depends on the machine: the lowest integer on x86-64, so that one router alone sent, the highest on arm64. Found while looking for numbers that are too large; TestAllRoutersSendToAServerThatNamesAHugeLimit cannot fail on arm64.

--- a/serverlimit/limit.go
+++ b/serverlimit/limit.go
@@ -98,5 +98,5 @@
 func (l *Limit) senders(routers int) int {
 	allowed := l.perSecond * Window.Seconds()
 	most := usedFraction*(BoundFactor*allowed+BoundSlack) - allowed
-	return max(1, min(routers, int(most)))
+	return max(1, int(min(float64(routers), most)))
 }
--- a/serverlimit/limit_test.go
+++ b/serverlimit/limit_test.go
@@ -83,3 +83,15 @@
 		t.Error("got a limit after the server started anew, want none")
 	}
 }
+
+// As an integer the number overflowed: to the lowest one on x86-64, so that one router alone sent, and to the highest on arm64.
+func TestAllRoutersSendToAServerThatNamesAHugeLimit(t *testing.T) {
+	var l serverlimit.Limit
+	now := time.Unix(1e9, 0)
+	l.RecordAnswer(now, now, 1e300)
+	for position := range 6 {
+		if _, ok := l.NextAt(serverlimit.Order{Position: position, Routers: 6}); !ok {
+			t.Errorf("got the router at position %d sending nothing, want all to send", position)
+		}
+	}
+}
