What was in doubt after the store's return ends when the table is read anew

A zone's state by the copy, or a removed server, was applied 3 s after the return although the table had been read again since. Test failed before: TestDoubtOfAZoneEndsWhenTheTableIsReadAnew (0 of 20 requests served in a zone in service).

--- a/gateway/operatortable.go
+++ b/gateway/operatortable.go
@@ -59,6 +59,7 @@
 func (o *operatorTable) Reset(rows []follow.Row) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
+	clear(o.doubts)
 	listed := listedZones(rows)
 	for zone := range o.outOfService {
 		if !listed[zone] {
@@ -73,6 +74,7 @@
 func (o *operatorTable) Restore(rows []follow.Row) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
+	clear(o.doubts)
 	listed, until := listedZones(rows), time.Now().Add(doubtTime)
 	doubt := func(zone string) {
 		if listed[zone] != o.outOfService[zone] {
--- a/gateway/restored_test.go
+++ b/gateway/restored_test.go
@@ -133,6 +133,28 @@
 	}
 }
 
+// What the copy held was applied after the table had been read again.
+func TestDoubtOfAZoneEndsWhenTheTableIsReadAnew(t *testing.T) {
+	s := newTestbed(t, publicDesk)
+	desk := s.startServer("i-1", "desk", 0)
+	s.waitReady()
+	s.store.Put("op", "evacuate/zone-a", map[string]any{})
+	s.waitLogged("zone-service-changed", `"out_of_service":true`)
+	restore := s.store.Copy()
+	s.store.Delete("op", "evacuate/zone-a")
+	s.waitLogged("zone-service-changed", `"out_of_service":false`)
+	restore()
+	s.waitLogged("zone-service-doubted", `"out_of_service":false`)
+	s.store.SetFault(platformtest.Unavailable)
+	s.store.Delete("op", "evacuate/zone-a")
+	s.store.DiscardHistory()
+	s.store.SetFault(platformtest.NoFault)
+	time.Sleep(4 * time.Second)
+	if got := s.gets(desk, 20); got != 20 {
+		t.Errorf("got %d of 20 requests in a zone that is in service, want all; log:\n%s", got, s.logs)
+	}
+}
+
 func TestServersAreListedRightWhenTheStoreForgetsTheirEntries(t *testing.T) {
 	s := newTestbed(t, publicDesk)
 	left, stays := s.startServer("i-1", "desk", 0), s.startServer("i-2", "desk", 0)
--- a/gateway/servertable.go
+++ b/gateway/servertable.go
@@ -54,6 +54,7 @@
 func (s *serverTable) Reset(rows []follow.Row) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	clear(s.doubts)
 	listed := keys(rows)
 	for id := range s.started {
 		if !listed[id] {
@@ -79,6 +80,8 @@
 func (s *serverTable) Restore(rows []follow.Row) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	clear(s.doubts)
+	clear(s.copied)
 	now, listed := time.Now(), keys(rows)
 	for id := range s.started {
 		if !listed[id] {
