--- a/gateway/suspects.go
+++ b/gateway/suspects.go
@@ -50,7 +50,7 @@
 	mu         sync.Mutex
 	quarantine *quarantine.Quarantine
 
-	patience time.Duration
+	patience time.Duration                    // quarantinePatience and a random part of patienceSpread
 	triedAt  map[quarantine.Suspect]time.Time // last write of a row; used by run alone
 }
 
