--- a/gateway/testbed_test.go
+++ b/gateway/testbed_test.go
@@ -104,12 +104,19 @@
 // startServer starts a backend server of a service and lists it in the store. The streams
 // of the backend server have the given number of events; 0 is for a service without streams.
 func (s *testbed) startServer(id, service string, events int) *platformtest.Server {
+	s.t.Helper()
+	return s.startVersion(id, service, "v1", events)
+}
+
+// startVersion starts a backend server whose software has a version, as startServer does.
+func (s *testbed) startVersion(id, service, version string, events int) *platformtest.Server {
 	s.t.Helper()
 	b, err := platformtest.NewServer(id, events)
 	if err != nil {
 		s.t.Fatal(err)
 	}
 	s.t.Cleanup(b.Close)
+	b.SetVersion(version)
 	s.store.Put("servers", id, b.Entry(service, "zone-a", "ready"))
 	s.listedServers++
 	return b
