--- a/follow/clock.go
+++ b/follow/clock.go
@@ -37,7 +37,9 @@
 	if b.StoreTime > delay {
 		store = b.StoreTime - delay
 	}
-	f.options.Table.Confirm(Confirmation{At: f.confirmedAt(began, b, delay), StoreTime: store, Era: b.Era})
+	at := f.confirmedAt(began, b, delay)
+	f.setCurrent(at)
+	f.options.Table.Confirm(Confirmation{At: at, StoreTime: store, Era: b.Era})
 }
 
 // LocalTime converts a reading of the store's clock in an era to one of this router's clock. The result may
--- a/follow/delta.go
+++ b/follow/delta.go
@@ -79,8 +79,8 @@
 		f.lastDelta = now
 	}
 	f.mu.Unlock()
-	if loaded {
-		f.apply(Position{Era: d.Era, Version: d.From}, Batch{Rows: d.Rows, Position: Position{Era: d.Era, Version: d.To}})
+	if loaded && f.apply(Position{Era: d.Era, Version: d.From}, Batch{Rows: d.Rows, Position: Position{Era: d.Era, Version: d.To}}) && d.FailureAge == 0 {
+		f.setCurrent(now)
 	}
 	f.CatchUpTo(Position{Era: d.Era, Version: d.NewestRow})
 }
--- a/follow/follow.go
+++ b/follow/follow.go
@@ -94,6 +94,7 @@
 type Follower struct {
 	options     Options
 	failing     bool         // the last polling call failed
+	currentAt   atomic.Int64 // clock reading at which the table was current
 	lastFailure atomic.Int64 // clock reading at the last failed call, of this follower or of one that sent a delta
 	done        chan struct{}
 
@@ -118,6 +119,7 @@
 // New returns a Follower that has not read its table yet.
 func New(o Options) *Follower {
 	f := &Follower{options: o, done: make(chan struct{}), wake: make(chan struct{}, 1)}
+	f.currentAt.Store(int64(-time.Hour))
 	f.lastFailure.Store(int64(-time.Hour))
 	return f
 }
@@ -129,6 +131,20 @@
 // or, as far as deltas report it, by another one.
 func (f *Follower) LastFailure() time.Duration { return time.Duration(f.lastFailure.Load()) }
 
+// CurrentAt returns the latest clock reading at which the table is known to have been current. What a delta brings is taken
+// to be of when it came.
+func (f *Follower) CurrentAt() time.Duration { return time.Duration(f.currentAt.Load()) }
+
+// setCurrent records that the table was current at a clock reading.
+func (f *Follower) setCurrent(at time.Duration) {
+	for {
+		known := f.currentAt.Load()
+		if int64(at) <= known || f.currentAt.CompareAndSwap(known, int64(at)) {
+			return
+		}
+	}
+}
+
 // Position returns the position of the store up to which the table is current.
 func (f *Follower) Position() Position {
 	f.mu.Lock()
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -69,6 +69,7 @@
 	placer         *placement.Placement
 	upstream       *upstream.Pool
 	suspects       *suspects
+	streams        *streams
 	serverRows     *serverTable
 	operatorRows   *operatorTable
 	followers      struct{ operator, servers, quarantine *follow.Follower }
@@ -129,6 +130,11 @@
 	g.followers.servers = g.newFollower(platform.ServerTable, g.serverRows, g.serverPollWait)
 	g.suspects = newSuspects(s.VM, g.store, g.metrics, g.logger)
 	g.followers.quarantine = g.newFollower(QuarantineTable, g.suspects, func() time.Duration { return quarantineLongPoll })
+	g.streams = newStreams(streamOptions{
+		VM: s.VM, Zone: s.Zone, Incarnation: strconv.FormatUint(g.incarnation, 10), FirstStart: s.FirstStart, Store: g.store, Placer: g.placer,
+		ListCurrentAt: g.followers.servers.CurrentAt, Routers: func() int { return int(g.knownRouters.Load()) }, LongestStream: g.longestStream,
+		Clock: boottime, Metrics: g.metrics, Logger: g.logger,
+	})
 	var err error
 	if g.gossip, err = gossip.New(s.VM, s.Zone, net.JoinHostPort(s.IP, strconv.Itoa(s.PeerPort)), g, g.logger); err != nil {
 		return err
@@ -137,7 +143,7 @@
 		g.gossip.Add("", address)
 	}
 	flow := ingress.NewFlow(ingress.Options{
-		Headers: platform.HeaderNames(), CurrentConfig: g.currentConfig, Placer: g.placer, Upstream: g.upstream, Quarantine: g.suspects,
+		Headers: platform.HeaderNames(), CurrentConfig: g.currentConfig, Placer: g.placer, Upstream: g.upstream, Quarantine: g.suspects, Streams: g.streams,
 		Migrator: platform.NewMigrator(g.upstream, g.logger),
 		Clock:    boottime, KeyMaxAge: s.MaxRevokeDelay - revokeMargin, RefusalMaxAge: s.MaxConfigDelay, Logger: g.logger, Metrics: g.metrics,
 	})
@@ -173,6 +179,15 @@
 	})
 }
 
+// longestStream returns how long a stream may last by the configuration, 0 if there is none.
+func (g *Gateway) longestStream() time.Duration {
+	t := g.currentConfig.Table()
+	if t == nil {
+		return 0
+	}
+	return t.LongestStream()
+}
+
 // readDelay returns how long this router waits before it reads a table of a store that came back from a copy. It is random and
 // grows with the number of routers, since all of them read.
 func (g *Gateway) readDelay() time.Duration {
@@ -254,6 +269,7 @@
 	links.Go("servers", g.followers.servers.Run)
 	links.Go("quarantine", g.followers.quarantine.Run)
 	links.Go("quarantine-rows", g.suspects.run)
+	links.Go("streams", g.streams.run)
 	links.Go("gossip", g.gossip.Run)
 	links.Go("register", g.register)
 	links.Go("dispatch", g.dispatch)
--- a/gateway/register.go
+++ b/gateway/register.go
@@ -72,6 +72,7 @@
 // again.
 func (g *Gateway) storeRestored(table string) {
 	g.gossip.SendUpdate()
+	g.streams.storeRestored()
 	if table != platform.OperatorTable {
 		return // once is enough
 	}
--- a/gateway/servertable.go
+++ b/gateway/servertable.go
@@ -142,7 +142,7 @@
 		delete(s.departed, r.Key)
 		s.started[e.ID] = e.StartedMs
 		s.placer.SetServer(time.Now(), e)
-		s.logger.Info().Str("server", e.ID).Str("address", e.Address).Str("zone", e.Zone).Bool("draining", e.Draining).
+		s.logger.Info().Str("server", e.ID).Str("address", e.Address).Str("zone", e.Zone).Bool("draining", e.Draining).Str("version", e.Version).
 			Dur("cold_remaining_ms", e.ColdFor).Int64("started_unix_ms", e.StartedMs).Uint64("row_version", r.Version).Msg("server-listed")
 	}
 }
--- /dev/null
+++ b/gateway/streams.go
@@ -0,0 +1,378 @@
+package gateway
+
+// This file defines streams, which shares one log of streams among the parts of a router and reads and writes the rows of the
+// store that tell at which software versions streams have begun.
+
+import (
+	"context"
+	"math/rand/v2"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/uber-go/tally/v4"
+
+	"bulrushtally/follow"
+	"bulrushtally/gossip"
+	"bulrushtally/ingress"
+	"bulrushtally/placement"
+	"bulrushtally/platform"
+	"bulrushtally/streamversion"
+)
+
+// Keys of the store's table of streams: one row lists the versions, and each start of a router has a row for its streams.
+const (
+	versionsKey   = "versions"
+	streamsPrefix = "begun/" // then the availability zone, the VM and the start of the router
+)
+
+// Timing of the store's table of streams.
+const (
+	streamsPeriod      = 50 * time.Millisecond // between two looks for what is to be read or written
+	versionsReadPeriod = 30 * time.Millisecond // between two reads of the row of versions, half of it at least
+	streamsCallTimeout = 700 * time.Millisecond
+	streamRowMemory    = 10 * time.Minute // after which the row of another router's start is deleted
+	ownRowMemory       = 2 * time.Minute  // after which those of this router's earlier starts are
+	maxLongestStream   = 5 * time.Minute  // that is taken from the configuration
+)
+
+// streamStore is the part of the store that streams use.
+type streamStore interface {
+	RowsBetween(table, from, to string, timeout time.Duration) (follow.Batch, error)
+	Put(table, key string, value []byte, timeout time.Duration) error
+	Swap(table, key string, value []byte, version uint64, timeout time.Duration) (swapped bool, err error)
+	Remove(table, key string, timeout time.Duration) error
+}
+
+// streamOptions configures streams.
+type streamOptions struct {
+	VM, Zone      string
+	Incarnation   string // start of this router
+	FirstStart    bool
+	Store         streamStore
+	Placer        *placement.Placement
+	ListCurrentAt func() time.Duration // clock reading at which the list of backend servers was current
+	Routers       func() int           // routers of the fleet
+	LongestStream func() time.Duration // by the configuration
+	Clock         func() time.Duration
+	Metrics       tally.Scope
+	Logger        zerolog.Logger
+}
+
+// streams is a log of streams that is safe for concurrent use, and the store's table of it.
+type streams struct {
+	streamOptions
+	rowKey   string
+	zoneRows *streamReader // rows of this zone
+	allRows  *streamReader // rows of all zones; the same in a small fleet
+	logged   tally.Gauge
+	done     chan struct{}
+
+	mu     sync.Mutex
+	log    *streamversion.Log
+	keeper *streamversion.Keeper
+
+	// Used by run alone.
+	listNumber uint64 // of the list of versions that keeper has
+	list       map[string]map[string]bool
+	admitted   map[string]map[string]bool
+	readAt     time.Time // earliest time of the next read of the row of versions
+	writtenAt  time.Time // of this router's row
+	cleanAt    time.Time
+}
+
+var _ ingress.Streams = (*streams)(nil)
+
+func newStreams(o streamOptions) *streams {
+	s := &streams{
+		streamOptions: o, rowKey: streamsPrefix + o.Zone + "/" + o.VM + "/" + o.Incarnation, logged: o.Metrics.Gauge("streams_logged"),
+		done: make(chan struct{}), log: streamversion.NewLog(), keeper: streamversion.NewKeeper(o.FirstStart),
+		admitted: map[string]map[string]bool{}, cleanAt: time.Now().Add(ownRowMemory),
+	}
+	s.zoneRows = newStreamReader(s.readZone, func() time.Duration { return streamversion.ReadPeriod(o.Routers(), false) })
+	s.allRows = newStreamReader(s.readAll, func() time.Duration { return streamversion.ReadPeriod(o.Routers(), true) })
+	return s
+}
+
+// Done returns a channel that is closed when run has returned.
+func (s *streams) Done() <-chan struct{} { return s.done }
+
+// Begin records that a stream is about to begin at a version, or has.
+func (s *streams) Begin(id streamversion.Stream, version string, until time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.log.Begin(id, version, until)
+}
+
+// Withdraw records that a stream has not begun after all, and reports whether it may begin at another version.
+func (s *streams) Withdraw(id streamversion.Stream) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.log.Withdraw(id)
+}
+
+// Ended records that a stream was sent to its end, or has not begun.
+func (s *streams) Ended(id streamversion.Stream) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.log.End(time.Now(), id)
+}
+
+// Find returns the version at which a stream of a service has begun: by this router's log, or by rows of the store that are read
+// after the call, since another router may have begun it just now.
+func (s *streams) Find(ctx context.Context, service string, id streamversion.Stream) streamversion.Finding {
+	s.mu.Lock()
+	f, ok := s.log.Find(id)
+	s.mu.Unlock()
+	if ok {
+		return f
+	}
+	for _, r := range []*streamReader{s.zoneRows, s.allRows} {
+		if n := r.newest(); n != nil && n.Logs(id) {
+			f, _ := n.Find(service, id)
+			return f
+		}
+	}
+	n := s.zoneRows.next(ctx)
+	if n != nil {
+		if f, ok := n.Find(service, id); ok {
+			return f
+		}
+	}
+	if n == nil || !s.large() {
+		return streamversion.Finding{}
+	}
+	if n = s.allRows.next(ctx); n == nil {
+		return streamversion.Finding{}
+	}
+	f, _ = n.Find(service, id)
+	return f
+}
+
+// run keeps the store's table until the context ends.
+func (s *streams) run(ctx context.Context) error {
+	defer close(s.done)
+	readers := make(chan struct{}, 2)
+	for _, r := range []*streamReader{s.zoneRows, s.allRows} {
+		go func() {
+			r.run(ctx)
+			readers <- struct{}{}
+		}()
+	}
+	t := time.NewTicker(streamsPeriod)
+	defer t.Stop()
+	for ctx.Err() == nil {
+		select {
+		case <-ctx.Done():
+		case <-t.C:
+			s.tick(time.Now())
+		}
+	}
+	s.writtenAt = time.Time{}
+	s.writeLog(time.Now()) // streams that are cut off at the end of the stop may be taken up
+	<-readers
+	<-readers
+	return nil
+}
+
+// tick looks for what is to be read or written.
+func (s *streams) tick(now time.Time) {
+	if s.observe(now) && !now.Before(s.readAt) {
+		s.keepVersions(now)
+		now = time.Now()
+		s.observe(now)
+	}
+	s.writeLog(now)
+	if now.After(s.cleanAt) {
+		s.cleanAt = now.Add(streamRowMemory/2 + rand.N(streamRowMemory/2))
+		s.clean(now)
+	}
+}
+
+// observe passes the list of servers to the keeper, and the versions that it admits to the placement. It reports whether the
+// row of versions is to be read.
+func (s *streams) observe(now time.Time) (read bool) {
+	list, number := s.Placer.Versions(s.listNumber)
+	if list != nil {
+		s.list, s.listNumber = list, number
+	}
+	listAge := s.Clock() - s.ListCurrentAt()
+	s.mu.Lock()
+	s.log.Expire(now)
+	s.keeper.SetLongestStream(min(s.LongestStream(), maxLongestStream))
+	s.keeper.Observe(now, now.Add(-listAge), s.list)
+	admits := map[string]map[string]bool{}
+	for service := range s.list {
+		admits[service] = s.keeper.Admits(now, service)
+	}
+	read = s.keeper.NeedsRead(now)
+	s.mu.Unlock()
+	for service, versions := range admits {
+		if !equalSets(versions, s.admitted[service]) {
+			s.admitted[service] = versions
+			s.Placer.AdmitVersions(now, service, versions)
+			s.Logger.Info().Str("service", service).Strs("versions", names(versions)).Msg("stream-versions-admitted")
+		}
+	}
+	return read
+}
+
+// keepVersions reads the row of versions, and writes it if it has to change. Only one of several routers that do so at once
+// succeeds; the others read the row again.
+func (s *streams) keepVersions(now time.Time) {
+	s.readAt = now.Add(versionsReadPeriod/2 + rand.N(streamversion.ReadPeriod(s.Routers(), false)))
+	batch, err := s.Store.RowsBetween(platform.StreamTable, versionsKey, versionsKey+"\x00", streamsCallTimeout)
+	if err != nil {
+		s.Logger.Warn().Err(err).Msg("stream-versions-not-read")
+		s.readAt = time.Now().Add(streamsCallTimeout / 2)
+		return
+	}
+	var row *streamversion.Versions
+	version := uint64(0)
+	for _, r := range batch.Rows {
+		version = r.Version
+		if row, err = streamversion.DecodeVersions(r.Value); err != nil {
+			s.Logger.Error().Err(err).Uint64("row_version", r.Version).Msg("stream-versions-refused")
+		}
+	}
+	s.mu.Lock()
+	s.keeper.Load(now, row, batch.Era)
+	next, changes := s.keeper.Next(now)
+	s.mu.Unlock()
+	if !changes {
+		return
+	}
+	value, err := next.Encode()
+	swapped := false
+	if err == nil {
+		swapped, err = s.Store.Swap(platform.StreamTable, versionsKey, value, version, streamsCallTimeout)
+	}
+	s.Logger.Info().Err(err).Bool("swapped", swapped).RawJSON("row", value).Msg("stream-versions-written")
+	if swapped {
+		s.mu.Lock()
+		s.keeper.Load(now, next, batch.Era)
+		s.mu.Unlock()
+	}
+}
+
+// storeRestored has the row of versions read again after the store came back from a copy.
+func (s *streams) storeRestored() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.keeper.Forget()
+}
+
+// writeLog writes this router's row if it has changed and streams are to be logged in the store.
+func (s *streams) writeLog(now time.Time) {
+	s.mu.Lock()
+	due := s.log.Changed() && s.keeper.Logs() && now.Sub(s.writtenAt) >= streamversion.LogPeriod(s.Routers())
+	var value []byte
+	var err error
+	count := s.log.Len()
+	if due {
+		value, err = s.log.Row(now)
+	}
+	s.mu.Unlock()
+	s.logged.Update(float64(count))
+	if !due {
+		return
+	}
+	s.writtenAt = now
+	if err == nil {
+		err = s.Store.Put(platform.StreamTable, s.rowKey, value, streamsCallTimeout)
+	}
+	if err == nil {
+		s.Logger.Debug().Int("streams", count).Int("bytes", len(value)).Msg("streams-logged")
+		return
+	}
+	s.Logger.Warn().Err(err).Int("streams", count).Msg("streams-not-logged")
+	s.mu.Lock()
+	s.log.Touch()
+	s.mu.Unlock()
+}
+
+// clean deletes the rows of this router's earlier starts and, in this zone, of routers that are gone.
+func (s *streams) clean(now time.Time) {
+	from := streamsPrefix + s.Zone + "/"
+	batch, err := s.Store.RowsBetween(platform.StreamTable, from, prefixEnd(from), streamsCallTimeout)
+	if err != nil {
+		return // the next time will do
+	}
+	for _, r := range batch.Rows {
+		written, err := streamversion.NewSnapshot(batch.Era).AddLog(r.Value)
+		own := strings.HasPrefix(r.Key, from+s.VM+"/")
+		if r.Key == s.rowKey || err == nil && !own && now.Sub(written) < streamRowMemory {
+			continue
+		}
+		err = s.Store.Remove(platform.StreamTable, r.Key, streamsCallTimeout)
+		s.Logger.Info().Err(err).Str("row", r.Key).Time("written", written).Msg("streams-row-deleted")
+	}
+}
+
+// readAll reads what the store tells of streams of all zones.
+func (s *streams) readAll() (*streamversion.Snapshot, error) {
+	return s.read([2]string{"", ""})
+}
+
+// readZone reads what the store tells of streams of this zone, or of all in a small fleet.
+func (s *streams) readZone() (*streamversion.Snapshot, error) {
+	if !s.large() {
+		return s.readAll()
+	}
+	zone := streamsPrefix + s.Zone + "/"
+	return s.read([2]string{versionsKey, versionsKey + "\x00"}, [2]string{zone, prefixEnd(zone)})
+}
+
+// read reads ranges of keys.
+func (s *streams) read(ranges ...[2]string) (*streamversion.Snapshot, error) {
+	var n *streamversion.Snapshot
+	for _, keys := range ranges {
+		batch, err := s.Store.RowsBetween(platform.StreamTable, keys[0], keys[1], streamsCallTimeout)
+		if err != nil {
+			s.Logger.Warn().Err(err).Msg("streams-not-read")
+			return nil, err
+		}
+		if n == nil {
+			n = streamversion.NewSnapshot(batch.Era)
+		}
+		for _, r := range batch.Rows {
+			if r.Key == versionsKey {
+				err = n.AddVersions(r.Value)
+			} else {
+				_, err = n.AddLog(r.Value)
+			}
+			if err != nil {
+				s.Logger.Error().Err(err).Str("row", r.Key).Uint64("row_version", r.Version).Msg("streams-row-refused")
+			}
+		}
+	}
+	return n, nil
+}
+
+// large reports whether the fleet is so large that rows of other zones are read only if those of this zone do not have a stream.
+func (s *streams) large() bool { return s.Routers() > gossip.ZoneSummaryThreshold }
+
+// prefixEnd returns the first key after all that start with a prefix, which ends with a slash.
+func prefixEnd(prefix string) string { return strings.TrimSuffix(prefix, "/") + "0" }
+
+func equalSets(a, b map[string]bool) bool {
+	if len(a) != len(b) {
+		return false
+	}
+	for v := range a {
+		if !b[v] {
+			return false
+		}
+	}
+	return true
+}
+
+// names returns the elements of a set in no particular order.
+func names(set map[string]bool) []string {
+	list := make([]string, 0, len(set))
+	for v := range set {
+		list = append(list, v)
+	}
+	return list
+}
--- a/gateway/testbed_test.go
+++ b/gateway/testbed_test.go
@@ -52,6 +52,7 @@
 name = %s
 zone = zone-a
 ip = 127.0.0.1
+first-start = true
 descriptors = 200
 [callers]
 listen = 127.0.0.1:0
--- a/gateway/version_test.go
+++ b/gateway/version_test.go
@@ -167,3 +167,137 @@
 		t.Errorf("got %d migrations of 20 streams, want some within a version; log:\n%s", migrations, s.logs)
 	}
 }
+
+func TestStreamsOfThreeVersionsAreKeptApart(t *testing.T) {
+	s := newTestbed(t, brokenOffService)
+	servers := s.startVersions(12, "one", "two", "three")
+	began := s.beginStreams(30, servers)
+	time.Sleep(time.Second)
+	s.stop()
+	second := s.startSecondRouter()
+	second.listVersions("one", "two", "three")
+	if goOn, mixed := second.takeUp(began); mixed > 0 || goOn < len(began)*3/4 {
+		t.Errorf("got %d of %d streams going on, %d of them at another version, want nearly all, none; log:\n%s", goOn, len(began), mixed, second.logs)
+	}
+}
+
+func TestStreamOfAServiceOfOneVersionIsTakenUpAtAnyRouter(t *testing.T) {
+	s := newTestbed(t, brokenOffService)
+	servers := s.startVersions(12, "one")
+	began := s.beginStreams(10, servers)
+	s.stop()
+	second := s.startSecondRouter()
+	second.listVersions("one")
+	if goOn, _ := second.takeUp(began); goOn != len(began) {
+		t.Errorf("got %d of %d streams going on, want all; log:\n%s", goOn, len(began), second.logs)
+	}
+}
+
+// A caller may name anything in Resumes. No server gets such a request, and the answer says so at once.
+func TestTakeUpOfAnUnknownStreamIsRefusedAsNotRun(t *testing.T) {
+	s := newTestbed(t, brokenOffService)
+	servers := s.startVersions(12, "one", "two")
+	received := func() (n int) {
+		for _, b := range servers {
+			n += len(b.Received())
+		}
+		return n
+	}
+	before := received()
+	for _, resumes := range []string{"", "nothing", strings.Repeat("x", 4000), "\"\\,;%00"} {
+		began := time.Now()
+		a := s.send("POST", "/models/x", "prompt", "Resumes", resumes, "Last-Event-Id", "1")
+		if a.status != 503 || a.header.Get("Retry-After") == "" || time.Since(began) > time.Second {
+			t.Errorf("Resumes %.20q: got status %d and Retry-After %q after %v, want 503 with one at once", resumes, a.status, a.header.Get("Retry-After"), time.Since(began))
+		}
+	}
+	if got := received(); got != before {
+		t.Errorf("got %d requests at servers, want none", got-before)
+	}
+}
+
+func TestTakeUpOfAnotherCustomersStreamIsRefused(t *testing.T) {
+	keyed := platformtest.Service("models", "stream", 1, map[string]any{"resumable": true, "engine": map[string]any{"slots": 8, "kv_capacity": 444000}})
+	s := newTestbed(t)
+	config := platformtest.Config(1, []string{"key-1"}, keyed)
+	config["tenants"] = []map[string]any{{"name": "alice", "api_keys": []string{"key-1"}}, {"name": "bob", "api_keys": []string{"key-2"}}}
+	s.store.Put("op", "config", config)
+	servers := s.startVersions(12, "one", "two")
+	for id := range s.beginStreams(5, servers) {
+		if a := s.send("POST", "/models/"+id, "prompt", "Resumes", id, "Last-Event-Id", "1", "X-Api-Key", "key-2"); a.status != 503 {
+			t.Errorf("got status %d for a stream of another customer, want 503", a.status)
+		}
+		if a := s.send("POST", "/models/"+id, "prompt", "Resumes", id, "Last-Event-Id", "1"); a.status != 200 {
+			t.Errorf("got status %d for the customer's own stream, want 200", a.status)
+		}
+	}
+}
+
+func TestTakeUpBeforeTheFirstEventIsANewRequest(t *testing.T) {
+	s := newTestbed(t, brokenOffService)
+	s.startVersions(12, "one", "two")
+	a := s.send("POST", "/models/x", "prompt", "Resumes", "first", "Last-Event-Id", "")
+	if a.status != 200 || strings.Count(a.body, "id: ") != 12 {
+		t.Errorf("got status %d and %q, want a whole stream", a.status, a.body)
+	}
+}
+
+func TestTakeUpOfAVersionWithoutServersIsRefusedAtOnce(t *testing.T) {
+	s := newTestbed(t, brokenOffService)
+	servers := s.startVersions(12, "one", "two")
+	began := s.beginStreams(10, servers)
+	for n := range 2 {
+		s.store.Delete("servers", fmt.Sprintf("one-%d", n))
+	}
+	s.waitLogged("server-unlisted", "one-0")
+	s.waitLogged("server-unlisted", "one-1")
+	for id, version := range began {
+		at := time.Now()
+		a := s.send("POST", "/models/"+id, "prompt", "Resumes", id, "Last-Event-Id", "1")
+		if want := map[string]int{"one": 503, "two": 200}[version]; a.status != want || time.Since(at) > 200*time.Millisecond {
+			t.Errorf("got status %d after %v for a stream of version %s, want %d at once", a.status, time.Since(at), version, want)
+		}
+	}
+}
+
+func TestTakeUpWhileTheStoreIsSilentIsNotGuessed(t *testing.T) {
+	s := newTestbed(t, brokenOffService)
+	servers := s.startVersions(12, "one", "two")
+	second := s.startSecondRouter()
+	second.listVersions("one", "two")
+	began := s.beginStreams(10, servers)
+	s.store.SetFault(platformtest.Unresponsive)
+	for id := range began {
+		at := time.Now()
+		a := second.send("POST", "/models/"+id, "prompt", "Resumes", id, "Last-Event-Id", "1")
+		if a.status != 503 || time.Since(at) > 2*time.Second {
+			t.Errorf("got status %d after %v at a router that cannot know, want 503 soon", a.status, time.Since(at))
+		}
+		break
+	}
+	if goOn, mixed := s.takeUp(began); goOn != len(began) || mixed > 0 {
+		t.Errorf("got %d of %d streams going on at their own router, %d mixed, want all, none", goOn, len(began), mixed)
+	}
+	s.store.SetFault(platformtest.NoFault)
+}
+
+// The store comes back from a copy of before the second version, and all routers are killed.
+func TestCopyThatLacksAVersionLeadsToNoMixedStream(t *testing.T) {
+	s := newTestbed(t, brokenOffService)
+	servers := s.startVersions(12, "one")
+	restore := s.store.Copy()
+	for n := range 2 {
+		servers = append(servers, s.startVersion(fmt.Sprintf("two-%d", n), "models", "two", 12))
+	}
+	s.listVersions("one", "two")
+	began := s.beginStreams(20, servers)
+	time.Sleep(time.Second)
+	s.stop()
+	restore()
+	second := s.startSecondRouter()
+	second.listedServers = 2
+	second.listVersions("one")
+	if goOn, mixed := second.takeUp(began); mixed > 0 {
+		t.Errorf("got %d streams going on, %d of them at another version, want none; log:\n%s", goOn, mixed, second.logs)
+	}
+}
--- a/ingress/attempt.go
+++ b/ingress/attempt.go
@@ -23,6 +23,7 @@
 // tried. A nil result means that the final response was forwarded.
 func (x *call) attempt(ctx context.Context, g *placement.Grant) (retry bool, v *result) {
 	x.flow.metrics.attempts.Inc(1)
+	x.keepVersion(g)
 	ex, err := x.send(ctx, g)
 	if err != nil {
 		return x.attemptError(ctx, g, err)
@@ -126,7 +127,7 @@
 
 // rerunAllowed reports whether the request may run again after a run that failed midway.
 func (x *call) rerunAllowed() bool {
-	return x.route.CanRepeat() || x.stream != nil && x.stream.resumable
+	return x.route.CanRepeat() || x.stream != nil && x.stream.resumable && !x.versionUnknown()
 }
 
 // contextEnded returns how a call ends after ctx was canceled because the caller
--- a/ingress/flow.go
+++ b/ingress/flow.go
@@ -5,7 +5,6 @@
 import (
 	"context"
 	"errors"
-	"math/rand/v2"
 	"net/http"
 	"strings"
 	"sync"
@@ -58,6 +57,7 @@
 	Placer        *placement.Placement
 	Upstream      *upstream.Pool
 	Quarantine    Quarantine
+	Streams       Streams
 	Migrator      Migrator
 	Clock         func() time.Duration // monotonic, also advances while the VM is suspended
 	KeyMaxAge     time.Duration        // how long keys are accepted after the configuration was last confirmed current
@@ -174,7 +174,7 @@
 	if v := x.identifyCustomer(confirmed && age <= f.KeyMaxAge, recent); v != nil {
 		return v
 	}
-	if x.service = x.route.Pick(rand.Float64()); x.service == nil {
+	if x.service = x.route.Pick(x.share()); x.service == nil {
 		return &result{status: 503, cause: "no-service", retryAfter: defaultRetryAfter}
 	}
 	x.preparePlacement()
@@ -217,16 +217,12 @@
 	return nil
 }
 
-// defaultTimeout is the timeout of a route that sets none. A caller's deadline can shorten
-// the timeout of a route, but not extend it.
-const defaultTimeout = time.Minute
-
 // preparePlacement sets the deadline, the placement request, what may be quarantined and the stream
-// state of the call.
+// state of the call. A caller's deadline can shorten the timeout of a route, but not extend it.
 func (x *call) preparePlacement() {
 	timeout := x.route.Timeout
 	if timeout <= 0 {
-		timeout = defaultTimeout
+		timeout = route.DefaultTimeout
 	}
 	x.deadline = x.arrived.Add(timeout)
 	elapsed := time.Duration(0)
@@ -254,7 +250,7 @@
 	}
 	x.identity = quarantine.Identity{Digest: x.computeDigest(), Parts: x.meta.parts}
 	if x.route.Kind == route.Stream {
-		x.stream = newStream(x.route.Resumable, x.http.Header.Get(x.flow.Headers.LastEventID))
+		x.prepareStream()
 	}
 }
 
@@ -282,8 +278,17 @@
 	}
 	f.Placer.RecordArrival(x.arrived, x.placementRequest)
 	x.placementRequest.OnWait = x.watchClose
+	if x.takesUp() {
+		if v := x.findVersion(ctx); v != nil {
+			return v
+		}
+	}
+	if x.stream != nil {
+		defer x.recordStreamEnd(false)
+	}
 	unreachable := 0
 	for x.attempts < max(1, x.route.MaxAttempts) && unreachable < maxUnreachable {
+		x.leaveVersion()
 		grant, refusal := f.Placer.Admit(ctx, x.placementRequest)
 		if refusal != nil {
 			return x.refusalResult(ctx, refusal)
@@ -359,6 +364,7 @@
 	causeUnsealed    = "unsealed"
 	causeTimeout     = "timeout"
 	causeLeft        = "client-left"
+	causeNoStream    = "version-unknown" // of the servers that began the stream which the caller takes up
 )
 
 // writeFailure writes an error response of the router and reports whether the connection
--- a/ingress/headers.go
+++ b/ingress/headers.go
@@ -26,6 +26,7 @@
 	Segments         string   // segments of the prompt in order, as id:tokens separated by commas
 	OutputTokensHint string   // expected output tokens
 	LastEventID      string   // ID of the event after which a stream resumes
+	Resumes          string   // ID of the attempt that brought the first event of the stream that a caller takes up
 	KVFetch          string   // address of the backend server to fetch the KV cache of shared segments from
 	KVSource         string   // location of a migrated request's KV cache: address and handle
 	ExpectedServer   string   // the only backend server that may run the request
@@ -45,11 +46,13 @@
 	outputTokens int
 	segments     []placement.Segment
 	parts        []string // IDs of the parts of the prompt, all but the last
+	resumes      string   // ID of the attempt that brought the first event of the stream
+	lastEventID  string   // of the stream that the caller takes up, "" if it takes up none
 }
 
 // parse reads a request header. Values that cannot be parsed count as absent.
 func (names *HeaderNames) parse(h http.Header) requestMeta {
-	m := requestMeta{id: h.Get(names.RequestID)}
+	m := requestMeta{id: h.Get(names.RequestID), resumes: h.Get(names.Resumes), lastEventID: h.Get(names.LastEventID)}
 	if ms, err := strconv.ParseFloat(h.Get(names.Deadline), 64); err == nil && ms > 0 {
 		m.deadline = time.Duration(ms * float64(time.Millisecond))
 	}
--- a/ingress/log.go
+++ b/ingress/log.go
@@ -55,6 +55,12 @@
 		e = e.Int("chunks", x.stream.chunks).Dur("first_event_ms", x.firstEventAfter).Dur("expected_first_event_ms", x.expectedFirst).
 			Int("expected_prefill_tokens", x.expectedPrefill).Dur("max_event_gap_ms", x.stream.maxGap)
 	}
+	if x.takesUp() {
+		e = e.Str("resumes", x.meta.resumes).Str("last_event", x.meta.lastEventID).Str("version_known_from", string(x.stream.source))
+	}
+	if x.stream != nil && x.placementRequest.Version != "" {
+		e = e.Str("stream_version", x.placementRequest.Version)
+	}
 	if s := v.servers; s != (placement.Rejections{}) {
 		e = e.Int("unusable", s.Unusable).Int("limited", s.Limited).Int("reserved", s.Reserved).Int("full", s.Full).Int("busy", s.Busy).Dur("best_expected_first_event_ms", s.ShortestFirstEvent)
 	}
--- a/ingress/stream.go
+++ b/ingress/stream.go
@@ -12,12 +12,16 @@
 	"time"
 
 	"bulrushtally/placement"
+	"bulrushtally/streamversion"
 	"bulrushtally/upstream"
 )
 
 // stream is the state of a response that is a series of server-sent events.
 type stream struct {
+	id          streamversion.Stream
+	source      streamversion.Source // of the version that the stream keeps to, if its caller takes it up
 	resumable   bool
+	begun       bool   // an event was forwarded
 	wholeEvents bool   // only complete events are forwarded, since the stream may continue at another backend server
 	lastID      string // ID of the last event that was forwarded
 	lastNumber  int64  // lastID as a number, -1 if it is none so far
@@ -62,6 +66,9 @@
 	first := true
 	for {
 		n, err := ex.Read(s.readBuffer)
+		if first && n > 0 && x.versionChanged(g) {
+			return x.streamError(ctx, g, errRestarted)
+		}
 		if n > 0 {
 			x.recordRead(g, first)
 			x.recordEvents(s.readBuffer[:n])
@@ -250,6 +257,9 @@
 	if !x.response.started {
 		x.response.bufferHead(ex.Status(), x.responseHeader(ex.Header()))
 	}
+	if !s.begun {
+		x.recordBegun()
+	}
 	s.chunks++
 	return x.response.writeChunk(b)
 }
@@ -299,6 +309,7 @@
 	}
 	x.endGrant(g, placement.Done)
 	x.recordCompleted(s.events > 0)
+	defer x.recordStreamEnd(true)
 	if !x.response.started {
 		x.response.bufferHead(ex.Status(), x.responseHeader(ex.Header()))
 	}
--- a/placement/grant.go
+++ b/placement/grant.go
@@ -27,7 +27,8 @@
 	request            *Request
 	customer           *customer
 	id                 string
-	startedMs          int64 // start time of the server in Unix milliseconds; 0 if unknown
+	startedMs          int64  // start time of the server in Unix milliseconds; 0 if unknown
+	version            string // of the server's software; "" if it was not certain
 	address            string
 	kvFetchAddress     string // server to fetch KV cache from, or ""
 	sentAt             time.Time
@@ -49,6 +50,17 @@
 // ServerStartedMs returns when the backend server started, in Unix milliseconds, or 0 if unknown.
 func (g *Grant) ServerStartedMs() int64 { return g.startedMs }
 
+// Version returns the version of the software that runs the request, or "" if it is not known for certain: the backend
+// server may have started anew, as another version, before the request reached it.
+func (g *Grant) Version() string {
+	g.placement.mu.Lock()
+	defer g.placement.mu.Unlock()
+	if g.server.StartedMs != g.startedMs {
+		return ""
+	}
+	return g.version
+}
+
 // SentAt returns when the request was assigned to the backend server.
 func (g *Grant) SentAt() time.Time { return g.sentAt }
 
--- a/placement/owner.go
+++ b/placement/owner.go
@@ -8,8 +8,8 @@
 // owner returns the usable server that owns a prompt's shared segments, or nil. It is
 // chosen by rendezvous hashing, so that all routers send such prompts to the same
 // server. A server that names a limit owns none. In a disaggregated pool, prefill selects
-// between prefill and decode servers.
-func (p *pool) owner(now time.Time, segments []Segment, prefill bool) *server {
+// between prefill and decode servers. If a version is given, the owner is one of its servers.
+func (p *pool) owner(now time.Time, segments []Segment, prefill bool, version string) *server {
 	if len(segments) == 0 {
 		return nil
 	}
@@ -17,7 +17,7 @@
 	var best *server
 	var highest uint64
 	for _, s := range p.servers {
-		if !s.usable(now) || s.limited() || p.disaggregated && s.prefillServer != prefill {
+		if !s.usable(now) || s.limited() || p.disaggregated && s.prefillServer != prefill || version != "" && s.Version != version {
 			continue
 		}
 		if score := mix(key, s.hash); best == nil || score > highest {
@@ -27,6 +27,30 @@
 	return best
 }
 
+// ownerFor returns the server from which a server may fetch the KV cache of the prompt's shared segments, or nil. If the
+// owner has another version, that is the server that would own them among those of its version, provided that it has them.
+func (sr *search) ownerFor(s *server) *server {
+	if sr.owner == nil || sr.owner == s || sr.owner.sharesKVCache(s) {
+		return sr.owner
+	}
+	if s.Version == "" {
+		return nil
+	}
+	segments := sr.waiter.request.Segments
+	owner, known := sr.versionOwners[s.Version]
+	if !known {
+		if sr.versionOwners == nil {
+			sr.versionOwners = map[string]*server{}
+		}
+		owner = sr.pool.owner(sr.now, segments, sr.wantsPrefill, s.Version)
+		if owner != nil && owner.segments.cachedTokens(segments) < sr.waiter.request.SharedTokens() {
+			owner = nil
+		}
+		sr.versionOwners[s.Version] = owner
+	}
+	return owner
+}
+
 // maxKVHolders limits the number of prefixes in pool.kvHolders; the map is cleared when
 // it is full.
 const maxKVHolders = 4096
@@ -45,10 +69,10 @@
 // the owner among the servers of the other role.
 func (p *pool) fallbackKVHolder(now time.Time, segments []Segment, owner *server) *server {
 	s := p.kvHolder(segments)
-	if s == nil {
-		s = p.owner(now, segments, !owner.prefillServer)
+	if s == nil || !s.sharesKVCache(owner) {
+		s = p.owner(now, segments, !owner.prefillServer, owner.Version)
 	}
-	if s == nil || s == owner || !s.listed {
+	if s == nil || s == owner || !s.listed || !s.sharesKVCache(owner) {
 		return nil
 	}
 	return s
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -28,6 +28,9 @@
 	Deadline         time.Time
 	Late             bool     // the objective had passed when the request arrived at this router
 	Tried            []string // IDs of the backend servers that earlier attempts were sent to
+	KeepsVersion     bool     // the response is a stream that goes on only at the version that began it, so it begins only at an admitted one
+	Version          string   // the version that began the stream; "" before it began
+	TakenUp          bool     // the caller takes up a stream that is known to have begun, which was within its customer's share then
 	OnWait           func()   // called, if not nil, when the request is queued
 
 	sharedTokens int // cached result of SharedTokens
@@ -61,6 +64,7 @@
 // Reasons for a refusal.
 const (
 	NoServer      Reason = "no-server"  // the service is unknown or has no backend server
+	NoVersion     Reason = "no-version" // the stream has begun at a version that no backend server has
 	NoCapacity    Reason = "full"       // no backend server has room in time
 	OverShare     Reason = "over-share" // the customer has used its fair share and there is no spare capacity
 	NoRetryBudget Reason = "no-budget"  // the retry budget is used up
@@ -122,6 +126,7 @@
 	summaryInterval time.Duration      // interval between two summaries of another router
 	pools           map[string]*pool   // by service
 	servers         map[string]*server // by server ID
+	versionsChanged uint64             // how often a version of a service's servers came or went, at most
 	statuses        *serverstatus.Register
 	outOfService    map[string]bool // by availability zone
 	shares          *shares
@@ -165,6 +170,7 @@
 	s.pool = to
 	s.segments = newSegmentCache(to.segmentCacheTokens())
 	to.servers = append(to.servers, s)
+	p.versionsChanged++
 }
 
 // initialListDelay is the time after the router's start within which it learns of the
@@ -200,7 +206,10 @@
 	if s.failures > 0 && entry.ColdFor > 0 {
 		s.failures, s.downUntil, s.maybeRestarted = 0, time.Time{}, false
 	}
-	s.ServerEntry, s.listed = entry, true
+	if entry.Version != s.Version {
+		p.versionsChanged++
+	}
+	s.ServerEntry, s.listed, s.doubtedAt = entry, true, time.Time{}
 	s.status.SetStart(entry.StartedMs)
 	if entry.Draining {
 		s.status.RecordLeaving(now, entry.StartedMs)
@@ -225,6 +234,7 @@
 		return
 	}
 	s.listed = false
+	p.versionsChanged++
 	s.pool.servers = slices.DeleteFunc(s.pool.servers, func(x *server) bool { return x == s })
 	delete(p.servers, s.ID)
 }
@@ -303,6 +313,10 @@
 		p.mu.Unlock()
 		return nil, &Refusal{Reason: NoRetryBudget, RetryAfter: p.retryAfter(req, false)}
 	}
+	if req.Version != "" && !pl.hasVersion(now, req.Version) {
+		p.mu.Unlock()
+		return nil, &Refusal{Reason: NoVersion, RetryAfter: p.retryAfter(req, true)}
+	}
 	c := p.shares.customer(req.Customer)
 	w := &waiter{request: req, customer: c, arrivedAt: now}
 	p.classify(now, pl, w)
@@ -342,7 +356,7 @@
 	s, req := c.server, w.request
 	g := &Grant{
 		placement: p, server: s, request: req, customer: w.customer,
-		id: s.ID, startedMs: s.StartedMs, address: s.Address, sentAt: now, prefillTokens: c.prefillTokens, prefillCost: c.prefillCost, expectedFirstEvent: c.firstEvent,
+		id: s.ID, startedMs: s.StartedMs, version: s.certainVersion(now), address: s.Address, sentAt: now, prefillTokens: c.prefillTokens, prefillCost: c.prefillCost, expectedFirstEvent: c.firstEvent,
 	}
 	if !c.isOwner {
 		pl.setKVHolder(req.Segments, s)
--- a/placement/placement_test.go
+++ b/placement/placement_test.go
@@ -29,7 +29,7 @@
 	p := placement.New(placement.Options{Zone: "zone-a", Limits: limits, Routers: routers, Now: time.Now()})
 	p.Configure(t)
 	for i := range servers {
-		p.SetServer(time.Now(), placement.ServerEntry{ID: fmt.Sprintf("i-%d", i), Service: "models", Address: "127.0.0.1:1", Zone: "zone-a", Slots: 64, StartedMs: 0})
+		p.SetServer(time.Now(), placement.ServerEntry{ID: fmt.Sprintf("i-%d", i), Service: "models", Address: "127.0.0.1:1", Zone: "zone-a", Slots: 64, Version: "v1"})
 	}
 	return p
 }
--- a/placement/pool.go
+++ b/placement/pool.go
@@ -71,6 +71,7 @@
 	rolesAssignedAt   time.Time
 	idleSpareFraction float64            // fraction of the spare capacity that customers far above their fair share may use too, because servers are idle
 	kvHolders         map[uint64]*server // by prefix: server other than the owner that held it last
+	admitted          map[string]bool    // versions at which streams may begin
 }
 
 // newPool returns a pool without servers.
@@ -129,19 +130,19 @@
 		return candidate{}, false
 	}
 	for _, s := range p.servers {
-		if p.disaggregated && s.prefillServer != sr.wantsPrefill {
-			continue
+		if p.disaggregated && s.prefillServer != sr.wantsPrefill && w.request.Version == "" {
+			continue // a stream that keeps to a version takes any server of it
 		}
 		sr.consider(s)
 	}
-	if !sr.found && p.disaggregated && !sr.wantsPrefill && !sr.spareOnly {
+	if !sr.found && p.disaggregated && !sr.wantsPrefill && !sr.spareOnly && w.request.Version == "" {
 		for _, s := range p.servers {
 			if s.prefillServer {
 				sr.consider(s)
 			}
 		}
 	}
-	if !sr.found && p.disaggregated && sr.wantsPrefill && w.rejections.Busy+w.rejections.Reserved+w.rejections.Full == 0 {
+	if !sr.found && p.disaggregated && sr.wantsPrefill && w.request.Version == "" && w.rejections.Busy+w.rejections.Reserved+w.rejections.Full == 0 {
 		for _, s := range p.servers { // no prefill server is usable
 			if !s.prefillServer {
 				sr.consider(s)
@@ -163,13 +164,14 @@
 	now             time.Time
 	waiter          *waiter
 	owner           *server
-	spareOnly       bool    // the customer is above its fair share
-	wantsPrefill    bool    // the request belongs on a prefill server
-	eventGapMs      float64 // longest allowed event gap of the request's stream
-	prefillFraction float64 // fraction of the event gap that may be prefill
-	slotFraction    float64 // fraction of a server's slots that may be used
-	queueFraction   float64 // longest prefill wait at a prefill server, as a fraction of the latency objective
-	tieMargin       float64 // servers whose costs differ by less are equally good, in milliseconds
+	versionOwners   map[string]*server // owners among the servers of one version, of those that were asked for
+	spareOnly       bool               // the customer is above its fair share
+	wantsPrefill    bool               // the request belongs on a prefill server
+	eventGapMs      float64            // longest allowed event gap of the request's stream
+	prefillFraction float64            // fraction of the event gap that may be prefill
+	slotFraction    float64            // fraction of a server's slots that may be used
+	queueFraction   float64            // longest prefill wait at a prefill server, as a fraction of the latency objective
+	tieMargin       float64            // servers whose costs differ by less are equally good, in milliseconds
 
 	best, bestBusy candidate // bestBusy is the cheapest one without room
 	found          bool
@@ -182,7 +184,7 @@
 	p.eventGapMs = max(p.eventGapMs, sr.eventGapMs)
 	sr.tieMargin = tieMarginMs + tieMarginPerIntervalMs*milliseconds(p.placement.summaryInterval)
 	sr.wantsPrefill = p.needsPrefillServer(w.request, sr.eventGapMs)
-	sr.owner = p.owner(now, w.request.Segments, sr.wantsPrefill)
+	sr.owner = p.owner(now, w.request.Segments, sr.wantsPrefill, w.request.Version)
 	sr.prefillFraction, sr.slotFraction, sr.queueFraction = fairPrefillFraction*p.lateRate.fairFraction(), fairSlotFraction, fairQueueFraction
 	if sr.spareOnly {
 		fraction := p.lateRate.spareFraction() * p.placement.shares.allowedSpare(now, w.customer, w.request.cost(), p.idleSpareFraction)
@@ -207,7 +209,7 @@
 	p, now, req := sr.pool, sr.now, sr.waiter.request
 	rejections := &sr.waiter.rejections
 	switch {
-	case !s.usable(now) || req.wasTried(s.ID) || !p.placement.withinColdRate(now, s):
+	case !s.usable(now) || !s.fits(now, req) || req.wasTried(s.ID) || !p.placement.withinColdRate(now, s):
 		rejections.Unusable++
 		return
 	case !p.placement.withinLimit(now, s):
@@ -223,7 +225,7 @@
 		rejections.Full++
 		return
 	}
-	c := p.evaluate(now, req, s, sr.owner, s == sr.owner, running)
+	c := p.evaluate(now, req, s, sr.ownerFor(s), s == sr.owner, running)
 	if !sr.checkRoom(s, &c, running) {
 		if rejections.Busy++; rejections.ShortestFirstEvent == 0 || c.firstEvent < rejections.ShortestFirstEvent {
 			rejections.ShortestFirstEvent = c.firstEvent
@@ -309,7 +311,7 @@
 	var best candidate
 	found, ties := false, 0
 	for _, s := range p.servers {
-		if !s.usable(now) || req.wasTried(s.ID) || !p.placement.withinColdRate(now, s) || !p.placement.withinLimit(now, s) {
+		if !s.usable(now) || !s.fits(now, req) || req.wasTried(s.ID) || !p.placement.withinColdRate(now, s) || !p.placement.withinLimit(now, s) {
 			continue
 		}
 		running := s.running
--- a/placement/queue.go
+++ b/placement/queue.go
@@ -22,10 +22,13 @@
 }
 
 // kind is what the search for a server depends on most.
-type kind struct{ longPrompt, spareOnly bool }
+type kind struct {
+	longPrompt, spareOnly bool
+	version               string // that the request keeps to
+}
 
 // kind returns the waiter's kind.
-func (w *waiter) kind() kind { return kind{w.longPrompt, w.spareOnly()} }
+func (w *waiter) kind() kind { return kind{w.longPrompt, w.spareOnly(), w.request.Version} }
 
 // await waits until a queued request gets a server, maxWait passes or ctx ends.
 func (p *Placement) await(ctx context.Context, pl *pool, w *waiter, maxWait time.Duration) (*Grant, *Refusal) {
@@ -119,11 +122,13 @@
 	return max(20*time.Millisecond, min(d, time.Until(req.Deadline)*3/10))
 }
 
-// precedes reports whether a request goes before another one in the queue. Requests in
-// time go first, then those of customers below their fair share. These are ordered by
+// precedes reports whether a request goes before another one in the queue. Streams that are taken up
+// go first, then requests in time, then those of customers below their fair share. These are ordered by
 // priority, by the served cost of the customer, and by arrival.
 func (w *waiter) precedes(x *waiter, bucket int64) bool {
 	switch {
+	case w.request.TakenUp != x.request.TakenUp:
+		return w.request.TakenUp
 	case w.request.Late != x.request.Late:
 		return !w.request.Late
 	case w.overShare != x.overShare:
@@ -214,7 +219,7 @@
 	if req.PromptTokens == 0 {
 		return
 	}
-	w.overShare = p.shares.exceedsShare(now, w.customer, req.cost())
+	w.overShare = !req.TakenUp && p.shares.exceedsShare(now, w.customer, req.cost())
 	w.longPrompt = pl.needsPrefillServer(req, milliseconds(cmp.Or(req.MaxEventGap, defaultEventGap)))
 }
 
--- a/placement/roles.go
+++ b/placement/roles.go
@@ -47,12 +47,26 @@
 	if !p.disaggregated {
 		return
 	}
-	slices.SortFunc(usable, func(a, b *server) int { return cmp.Compare(a.hash, b.hash) })
-	for _, s := range usable[:int(math.Ceil(prefillServerFraction*float64(len(usable))))] {
-		s.prefillServer = true
+	slices.SortFunc(usable, func(a, b *server) int {
+		return cmp.Or(cmp.Compare(a.Version, b.Version), cmp.Compare(a.hash, b.hash))
+	})
+	for len(usable) > 0 { // each version has servers of both roles, since a request migrates within its version
+		n := 1
+		for n < len(usable) && usable[n].Version == usable[0].Version {
+			n++
+		}
+		for _, s := range usable[:prefillServers(n)] {
+			s.prefillServer = true
+		}
+		usable = usable[n:]
 	}
 }
 
+// prefillServers returns how many of n servers of one version prefill. At least one decodes.
+func prefillServers(n int) int {
+	return min(n-1, int(math.Ceil(prefillServerFraction*float64(n))))
+}
+
 // Mean utilization of the model servers at which idleSpareFraction begins to fall from
 // maxIdleSpareFraction, and at which it is 0.
 const (
@@ -97,11 +111,11 @@
 	if !pl.disaggregated || !g.server.prefillServer || g.request.OutputTokens <= shortOutputTokens {
 		return nil
 	}
-	owner := pl.owner(now, g.request.Segments, false)
+	owner := pl.owner(now, g.request.Segments, false, g.server.Version)
 	var best *server
 	lowestLoad := 0.0
 	for _, s := range pl.servers {
-		if s.prefillServer || s == g.server || !s.usable(now) || s.cold(now) || !p.withinLimit(now, s) {
+		if s.prefillServer || s == g.server || g.version == "" || s.certainVersion(now) != g.version || !s.usable(now) || s.cold(now) || !p.withinLimit(now, s) {
 			continue
 		}
 		running, tokens := s.load()
@@ -124,7 +138,7 @@
 	best.recordSent(now, 0)
 	best.kvTokens += g.request.PromptTokens + g.request.OutputTokens
 	return &Grant{
-		placement: p, server: best, request: g.request, customer: g.customer, id: best.ID, startedMs: best.StartedMs, address: best.Address,
+		placement: p, server: best, request: g.request, customer: g.customer, id: best.ID, startedMs: best.StartedMs, version: best.Version, address: best.Address,
 		sentAt: now, firstEventSeen: true, migrated: true, late: g.late,
 	}
 }
--- a/placement/segments_test.go
+++ b/placement/segments_test.go
@@ -34,7 +34,7 @@
 	p := newPlacement(modelServices(true), 1, 0)
 	for i := range servers {
 		p.SetServer(time.Now(), placement.ServerEntry{
-			ID: fmt.Sprintf("i-%d", i), Service: "models", Address: fmt.Sprintf("127.0.0.1:%d", i+1), Zone: "zone-a", Slots: 64,
+			ID: fmt.Sprintf("i-%d", i), Service: "models", Address: fmt.Sprintf("127.0.0.1:%d", i+1), Zone: "zone-a", Slots: 64, Version: "v1",
 		})
 	}
 	return p
@@ -94,7 +94,7 @@
 	p := placement.New(placement.Options{Zone: "zone-a", Limits: limits, Routers: 1, Now: time.Now().Add(-time.Minute)})
 	p.Configure(modelServices(true))
 	for i := range 9 {
-		p.SetServer(time.Now(), placement.ServerEntry{ID: fmt.Sprintf("i-%d", i), Service: "models", Address: "127.0.0.1:1", Zone: "zone-a", Slots: 64})
+		p.SetServer(time.Now(), placement.ServerEntry{ID: fmt.Sprintf("i-%d", i), Service: "models", Address: "127.0.0.1:1", Zone: "zone-a", Slots: 64, Version: "v1"})
 	}
 	segments := []placement.Segment{{ID: 1, Tokens: 500}, {ID: 2, Tokens: 5000}}
 	for _, want := range []int{12000, 12000 - 5500} { // the second request finds the segments of the first
--- a/placement/server.go
+++ b/placement/server.go
@@ -21,6 +21,7 @@
 	Draining  bool          // it takes no new requests
 	ColdFor   time.Duration // remaining time for which it can sustain only a limited rate
 	StartedMs int64         // start time in Unix milliseconds; 0 if unknown
+	Version   string        // of its software, since that start; "" if unknown
 }
 
 // Gains and limits of what a router estimates for one backend server.
@@ -49,6 +50,7 @@
 	downUntil      time.Time // no new requests until then
 	failures       int       // consecutive failed connections
 	maybeRestarted bool      // it was unreachable and may have restarted, so it counts as cold
+	doubtedAt      time.Time // when it was last found unreachable since its entry was written, so that the entry may be of an older start
 	prefillServer  bool      // its role in a disaggregated pool
 
 	cacheFilledAt time.Time             // from then on its KV cache is taken to hold the segments that it owns; zero while nothing was prefilled
@@ -200,6 +202,7 @@
 	backoff := min(maxBackoff, firstBackoff<<min(s.failures-1, 4))
 	s.downUntil = now.Add(backoff)
 	s.maybeRestarted = true // it may have restarted by the time it can be reached
+	s.doubtedAt = now
 }
 
 // recordResponse records that the server responded, whatever the response was. If it may
--- a/route/table.go
+++ b/route/table.go
@@ -116,6 +116,22 @@
 // KeysRequired reports whether requests on routes that are not public need a key.
 func (t *Table) KeysRequired() bool { return t.keysRequired }
 
+// DefaultTimeout is the timeout of a route that sets none.
+const DefaultTimeout = time.Minute
+
+// LongestStream returns the longest timeout of the routes whose responses are streams, or 0 if there are none.
+func (t *Table) LongestStream() time.Duration {
+	longest := time.Duration(0)
+	for _, routes := range t.routes {
+		for _, r := range routes {
+			if r.Kind == Stream {
+				longest = max(longest, cmp.Or(r.Timeout, DefaultTimeout))
+			}
+		}
+	}
+	return longest
+}
+
 // Services returns the services by name; the caller must not change the map.
 func (t *Table) Services() map[string]*Service { return t.services }
 
--- a/settings/gateway.go
+++ b/settings/gateway.go
@@ -20,6 +20,7 @@
 // without a leader for each shard. GatewayKeys returns what each of them means.
 type Gateway struct {
 	VM, Zone, IP string
+	FirstStart   bool // the fleet starts for the first time
 
 	LogLevel string
 
@@ -66,6 +67,7 @@
 	{"vm", "name", "", "name of this VM, unique in the fleet", gatewayTextSetter(func(g *Gateway) *string { return &g.VM }, checkName)},
 	{"vm", "zone", "", "availability zone of this VM", gatewayTextSetter(func(g *Gateway) *string { return &g.Zone }, checkName)},
 	{"vm", "ip", "", "IP address of this VM", gatewayTextSetter(func(g *Gateway) *string { return &g.IP }, checkIP)},
+	{"vm", "first-start", "false", "true when the fleet starts for the first time, so that no stream has begun before", gatewayBoolSetter(func(g *Gateway) *bool { return &g.FirstStart })},
 	{"vm", "memory-mb", "256", "memory limit of the process, in MB", gatewayIntSetter(func(g *Gateway) *int { return &g.MemoryLimitMB }, 32, 1<<20)},
 	{"vm", "descriptors", "4096", "maximum number of open files and sockets of the process", gatewayIntSetter(func(g *Gateway) *int { return &g.MaxOpenFiles }, 64, 1<<20)},
 	{"log", "level", "info", "least severe level that is logged: debug, info, warn or error", gatewayTextSetter(func(g *Gateway) *string { return &g.LogLevel }, checkLevel)},
@@ -114,6 +116,17 @@
 	}
 }
 
+// gatewayBoolSetter accepts true and false.
+func gatewayBoolSetter(field func(*Gateway) *bool) func(*Gateway, string) string {
+	return func(g *Gateway, value string) string {
+		*field(g) = value == "true"
+		if value != "true" && value != "false" {
+			return "give true or false"
+		}
+		return ""
+	}
+}
+
 // gatewayFloatSetter accepts numbers from minimum to maximum.
 func gatewayFloatSetter(field func(*Gateway) *float64, minimum, maximum float64) func(*Gateway, string) string {
 	return func(g *Gateway, value string) string {
