Requests that a planned stop would cut off are answered, and late ones get the time that is left

What callers saw, on a system like ours: in a planned stop, in calm, late requests were taken, passed on and cut with no answer at the end of the grace, among them ones that may not be repeated.

Cause: the time to stop was known to the gateway alone; no request's context or deadline ended with it. Change: 0.2 s before the process ends, the context of all requests ends: 503 with Retry-After if no server has had the request, 504 if it may have run; a request that comes while the router stops gets no deadline beyond that. A stream that has begun is still cut then: it has no other answer.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -147,7 +147,7 @@
 		Migrator: platform.NewMigrator(g.upstream, g.logger),
 		Clock:    boottime, KeyMaxAge: s.MaxRevokeDelay - revokeMargin, RefusalMaxAge: s.MaxConfigDelay, Logger: g.logger, Metrics: g.metrics,
 	})
-	if g.ingress, err = ingress.NewServer(s.Listen, int(callerConnFraction*float64(s.MaxOpenFiles)), flow, g.logger); err != nil {
+	if g.ingress, err = ingress.NewServer(s.Listen, int(callerConnFraction*float64(s.MaxOpenFiles)), s.GracePeriod-exitMargin, flow, g.logger); err != nil {
 		return err
 	}
 	g.readyServer = &fasthttp.Server{Handler: g.handleReady, Logger: debugPrinter{g.logger}, NoDefaultServerHeader: true}
--- /dev/null
+++ b/gateway/stop_test.go
@@ -0,0 +1,109 @@
+package gateway_test
+
+// This file tests what callers get whose requests are not answered by the end of a planned stop.
+
+import (
+	"strconv"
+	"testing"
+	"time"
+
+	"bulrushtally/platform/platformtest"
+)
+
+// shortGrace is the setting of a time from SIGTERM to SIGKILL in which a test can wait.
+const shortGrace = "grace-s = 2"
+
+// newStoppingTestbed starts a gateway with a short time to stop and one server, whose requests hang, of a service for
+// requests that run at most once.
+func newStoppingTestbed(t *testing.T, slots int) (*testbed, *platformtest.Server) {
+	s := newTestbedWith(t, shortGrace, platformtest.Service("desk", "non_idempotent", 1, map[string]any{"public": true, "timeout_ms": 6000}))
+	b, err := platformtest.NewServer("i-1", 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(b.Close)
+	b.SetDefaultBehaviour(platformtest.Hang)
+	entry := b.Entry("desk", "zone-a", "ready")
+	entry["slots"] = slots
+	s.store.Put("servers", "i-1", entry)
+	s.listedServers++
+	s.waitReady()
+	return s, b
+}
+
+// stopAndWait stops the gateway and returns a function that checks that the time to stop is not over, when the process ends.
+func (s *testbed) stopAndWait() (checkInTime func()) {
+	at := time.Now()
+	s.stop()
+	return func() {
+		s.t.Helper()
+		if d := time.Since(at); d > 2*time.Second {
+			s.t.Errorf("got an answer %v after the stop had begun, want it before the 2 s to stop are over", d)
+		}
+	}
+}
+
+// sendMany sends requests at the same time and returns their responses in the order in which they end.
+func (s *testbed) sendMany(n int) <-chan response {
+	responses := make(chan response, n)
+	for range n {
+		go func() { responses <- s.send("POST", "/desk/x", "order") }()
+	}
+	return responses
+}
+
+func TestRequestsAreAnsweredWhenTheTimeToStopEnds(t *testing.T) {
+	s, b := newStoppingTestbed(t, 1)
+	time.Sleep(200 * time.Millisecond)
+	responses := s.sendMany(1)
+	if !eventually(time.Second, func() bool { return len(b.Received()) == 1 }) {
+		t.Fatal("got no request at the server")
+	}
+	checkInTime := s.stopAndWait()
+	a := <-responses
+	checkInTime()
+	if a.err != nil || a.status != 504 {
+		t.Errorf("got status %d and error %v for a request that ran when the time to stop ended, want 504", a.status, a.err)
+	}
+}
+
+func TestWaitingRequestIsToldThatItHasNotRunWhenTheTimeToStopEnds(t *testing.T) {
+	s, b := newStoppingTestbed(t, 1)
+	checkInTime := s.stopAndWait()
+	responses := s.sendMany(2) // one runs, and the other waits for its slot
+	notRun := 0
+	for range 2 {
+		a := <-responses
+		checkInTime()
+		if a.err != nil {
+			t.Errorf("got error %v, want an answer", a.err)
+		}
+		if a.status == 503 {
+			notRun++
+			if a.header.Get("Retry-After") == "" {
+				t.Error("got no Retry-After for a request that has not run")
+			}
+		}
+	}
+	if got := len(b.Received()); got != 1 || notRun != 1 {
+		t.Errorf("got %d requests at the server and %d told that they have not run, want one each", got, notRun)
+	}
+}
+
+func TestLateRequestGetsNoMoreTimeThanIsLeftToStop(t *testing.T) {
+	s, b := newStoppingTestbed(t, 8)
+	checkInTime := s.stopAndWait()
+	time.Sleep(200 * time.Millisecond)
+	a := <-s.sendMany(1)
+	checkInTime()
+	if a.err != nil || a.status != 504 {
+		t.Errorf("got status %d and error %v, want 504", a.status, a.err)
+	}
+	received := b.Received()
+	if len(received) != 1 {
+		t.Fatalf("got %d requests at the server, want 1", len(received))
+	}
+	if ms, err := strconv.Atoi(received[0].Header.Get("Deadline-Ms")); err != nil || ms > 2000 {
+		t.Errorf("got a deadline of %q ms at the server, want less than the 2 s that were left to stop", received[0].Header.Get("Deadline-Ms"))
+	}
+}
--- a/gateway/testbed_test.go
+++ b/gateway/testbed_test.go
@@ -44,9 +44,12 @@
 	return c.LocalAddr().(*net.UDPAddr).Port
 }
 
+// usualGrace is the setting of the time from SIGTERM to SIGKILL.
+const usualGrace = "grace-s = 8"
+
 // startGateway runs a gateway until the returned function is called. It also returns the
 // gateway's log.
-func startGateway(t testing.TB, store *platformtest.Store, name string) (*gateway.Gateway, *lockedBuffer, context.CancelFunc) {
+func startGateway(t testing.TB, store *platformtest.Store, name, grace string) (*gateway.Gateway, *lockedBuffer, context.CancelFunc) {
 	t.Helper()
 	text := fmt.Sprintf(`[vm]
 name = %s
@@ -63,8 +66,8 @@
 address = %s
 [bounds]
 revoke-ms = 2500
-grace-s = 8
-`, name, freeUDPPort(t), store.Address())
+%s
+`, name, freeUDPPort(t), store.Address(), grace)
 	s, err := settings.ParseGateway([]byte(text))
 	if err != nil {
 		t.Fatal(err)
@@ -82,13 +85,19 @@
 // newTestbed starts a store and a gateway. The store holds version 1 of a configuration
 // with the services, or none if no services are given.
 func newTestbed(t testing.TB, services ...map[string]any) *testbed {
+	t.Helper()
+	return newTestbedWith(t, usualGrace, services...)
+}
+
+// newTestbedWith starts a store and a gateway as newTestbed does, with a setting of the time to stop.
+func newTestbedWith(t testing.TB, grace string, services ...map[string]any) *testbed {
 	t.Helper()
 	s := &testbed{t: t, store: platformtest.NewStore(), client: &http.Client{Transport: &http.Transport{DisableCompression: true}}}
 	t.Cleanup(s.store.Close)
 	if len(services) > 0 {
 		s.store.Put("op", "config", platformtest.Config(1, []string{"key-1"}, services...))
 	}
-	s.gateway, s.logs, s.stop = startGateway(t, s.store, "router-1")
+	s.gateway, s.logs, s.stop = startGateway(t, s.store, "router-1", grace)
 	t.Cleanup(s.stop)
 	return s
 }
@@ -97,7 +106,7 @@
 func (s *testbed) startSecondRouter() *testbed {
 	s.t.Helper()
 	second := *s
-	second.gateway, second.logs, second.stop = startGateway(s.t, s.store, "router-2")
+	second.gateway, second.logs, second.stop = startGateway(s.t, s.store, "router-2", usualGrace)
 	s.t.Cleanup(second.stop)
 	return &second
 }
--- a/ingress/attempt.go
+++ b/ingress/attempt.go
@@ -130,10 +130,17 @@
 	return x.route.CanRepeat() || x.stream != nil && x.stream.resumable && !x.versionUnknown()
 }
 
+// stopped reports whether ctx has ended because the router's time to stop has.
+func stopped(ctx context.Context) bool { return errors.Is(context.Cause(ctx), errStopping) }
+
 // contextEnded returns how a call ends after ctx was canceled because the caller
-// disconnected, or after its deadline passed.
+// disconnected or the router stops, or after its deadline passed.
 func (x *call) contextEnded(ctx context.Context) *result {
 	switch {
+	case stopped(ctx) && x.mayHaveRun:
+		return &result{status: 504, cause: causeStopping}
+	case stopped(ctx):
+		return &result{status: 503, cause: causeStopping, retryAfter: defaultRetryAfter}
 	case !errors.Is(ctx.Err(), context.DeadlineExceeded):
 		return &result{status: 502, cause: causeLeft}
 	case x.mayHaveRun:
--- a/ingress/flow.go
+++ b/ingress/flow.go
@@ -144,7 +144,7 @@
 	if v := x.resolve(); v != nil {
 		return x.writeFailure(v)
 	}
-	ctx, cancel := context.WithDeadline(context.Background(), x.deadline)
+	ctx, cancel := context.WithDeadline(c.server.requests, x.deadline)
 	defer cancel()
 	x.watchClose = sync.OnceFunc(func() { c.watchClose(cancel) })
 	v := x.run(ctx)
@@ -234,6 +234,9 @@
 			x.deadline = x.arrived.Add(d)
 		}
 	}
+	if at := x.conn.server.stopsAt.Load(); at != nil && at.Before(x.deadline) {
+		x.deadline = *at
+	}
 	x.placementRequest = &placement.Request{
 		Service: x.service.Name, Priority: x.route.Priority,
 		LatencyObjective: x.route.Objective, MaxEventGap: x.route.GapObjective, Objective: x.arrived.Add(x.route.Objective - elapsed), Deadline: x.deadline,
@@ -330,6 +333,9 @@
 	if x.lastFailure != nil && (x.mayHaveRun || r.Reason == placement.NoRetryBudget) {
 		return x.finalFailure(ctx)
 	}
+	if stopped(ctx) {
+		return x.contextEnded(ctx)
+	}
 	if ctx.Err() != nil && !x.mayHaveRun {
 		return &result{status: 503, cause: string(placement.Canceled)}
 	}
@@ -364,6 +370,7 @@
 	causeUnsealed    = "unsealed"
 	causeTimeout     = "timeout"
 	causeLeft        = "client-left"
+	causeStopping    = "stopping"
 	causeNoStream    = "version-unknown" // of the servers that began the stream which the caller takes up
 )
 
--- a/ingress/server.go
+++ b/ingress/server.go
@@ -25,6 +25,7 @@
 var defaultLimits = limits{headBytes: 16 << 10, bodyBytes: 4 << 20, headTimeout: 3 * time.Second, idleTimeout: 15 * time.Second}
 
 const (
+	answerTime         = 200 * time.Millisecond  // left for the answers to requests that are still served when the time to stop ends
 	idleCloseDelay     = 2500 * time.Millisecond // from the start of shutdown until idle connections are closed
 	listenerCloseDelay = 3 * time.Second         // and until the listener is closed, by when the load balancer sends no new connections
 )
@@ -35,7 +36,11 @@
 	listener  net.Listener
 	logger    zerolog.Logger
 	done      chan struct{}
+	stopTime  time.Duration // from the start of shutdown until all requests must be answered
 	stopping  atomic.Bool
+	stopsAt   atomic.Pointer[time.Time] // when requests are ended; nil before the start of shutdown
+	requests  context.Context           // of all requests, which ends then
+	end       context.CancelCauseFunc   // ends requests
 	inFlight  atomic.Int64
 	admission admission
 
@@ -45,16 +50,18 @@
 	shedSince time.Time
 }
 
-// NewServer listens on a TCP address and allows the given number of open connections.
-// It returns an error if it cannot listen.
-func NewServer(address string, connections int, f *Flow, logger zerolog.Logger) (*Server, error) {
+// NewServer listens on a TCP address and allows the given number of open connections. When it shuts down, it ends what
+// requests are left after stopTime. It returns an error if it cannot listen.
+func NewServer(address string, connections int, stopTime time.Duration, f *Flow, logger zerolog.Logger) (*Server, error) {
 	// TCP keep-alive is configured only when a request first waits for a response: under
 	// overload most connections carry a single request that is refused at once.
 	ln, err := (&net.ListenConfig{KeepAlive: -1}).Listen(context.Background(), "tcp4", address)
 	if err != nil {
 		return nil, err
 	}
-	return &Server{flow: f, listener: ln, logger: logger, done: make(chan struct{}), conns: map[*conn]bool{}, admission: admission{maxOpen: int64(connections)}}, nil
+	s := &Server{flow: f, listener: ln, logger: logger, stopTime: stopTime, done: make(chan struct{}), conns: map[*conn]bool{}, admission: admission{maxOpen: int64(connections)}}
+	s.requests, s.end = context.WithCancelCause(context.Background())
+	return s, nil
 }
 
 // Address returns the address of the listener.
@@ -68,12 +75,15 @@
 
 // Run serves until ctx is done, then shuts down gracefully: it goes on serving requests
 // but closes each connection after its response, then closes idle connections and the
-// listener. It returns nil when no connection is left.
+// listener. Shortly before stopTime has passed it ends the requests that are left. It returns nil when no connection is left.
 func (s *Server) Run(ctx context.Context) error {
 	go s.accept()
 	<-ctx.Done()
-	s.stopping.Store(true)
 	stopStart := time.Now()
+	stopsAt := stopStart.Add(s.stopTime - answerTime)
+	s.stopsAt.Store(&stopsAt)
+	s.stopping.Store(true)
+	defer time.AfterFunc(time.Until(stopsAt), func() { s.end(errStopping) }).Stop()
 	for {
 		time.Sleep(50 * time.Millisecond)
 		elapsed := time.Since(stopStart)
@@ -90,6 +100,9 @@
 	}
 }
 
+// errStopping is the cause of the end of requests that are not answered when the time to stop ends.
+var errStopping = errors.New("the router stops")
+
 // noConnections reports whether no connection is open.
 func (s *Server) noConnections() bool {
 	s.mu.Lock()
