--- a/streamversion/streamversion_test.go
+++ b/streamversion/streamversion_test.go
@@ -98,13 +98,18 @@
 	})
 }
 
+// loseSecondVersion has a second version serve, and the store come back from a copy of before that.
+func (f *fleet) loseSecondVersion() {
+	f.pass(3 * time.Second)
+	backup := f.table.copy()
+	f.listed["v2"] = true
+	f.pass(4 * time.Second)
+	f.table.restore(backup)
+}
+
 func TestStoreThatComesBackFromACopyLeadsToNoWrongVersion(t *testing.T) {
 	inAllSizes(t, func(t *testing.T, f *fleet) {
-		f.pass(3 * time.Second)
-		backup := f.table.copy()
-		f.listed["v2"] = true
-		f.pass(4 * time.Second)
-		f.table.restore(backup)
+		f.loseSecondVersion()
 		f.takeUp(f.streams)
 		broken := f.killAll() // no router knows that there was another version
 		delete(f.listed, "v2")
@@ -118,11 +123,7 @@
 
 func TestLivingRoutersWriteVersionsAgainThatTheStoreLost(t *testing.T) {
 	inAllSizes(t, func(t *testing.T, f *fleet) {
-		f.pass(3 * time.Second)
-		backup := f.table.copy()
-		f.listed["v2"] = true
-		f.pass(4 * time.Second)
-		f.table.restore(backup)
+		f.loseSecondVersion()
 		for _, r := range f.routers {
 			r.keeper.Forget()
 		}
