A change without a valid precondition is not made

Cause: the refusal was written as the response, whose nil error the handlers took for leave to go on. Change: the parser returns the refusal and the handlers write it. Evidence: TestChangeWithoutAValidPreconditionIsNotMade got 409 three times before; passes.

--- a/operator/api_test.go
+++ b/operator/api_test.go
@@ -143,3 +143,44 @@
 		t.Errorf("OpenAPI description: status %d, want %d", got, want)
 	}
 }
+
+// sendRaw sends a request with the first operator's key and returns its status.
+func sendRaw(t *testing.T, method, url, body string, header ...string) int {
+	t.Helper()
+	r, err := http.NewRequest(method, url, strings.NewReader(body))
+	if err != nil {
+		t.Fatal(err)
+	}
+	r.Header.Set("Authorization", "Bearer "+lab.OperatorKey)
+	for i := 0; i < len(header); i += 2 {
+		r.Header.Set(header[i], header[i+1])
+	}
+	resp, err := http.DefaultClient.Do(r)
+	if err != nil {
+		t.Fatal(err)
+	}
+	resp.Body.Close()
+	return resp.StatusCode
+}
+
+func TestChangeWithoutAValidPreconditionIsNotMade(t *testing.T) {
+	f := startSmallFleet(t)
+	store := f.Routers[0].ConfigStore()
+	url := "http://" + f.Routers[0].Address() + operator.BasePath + "/zone/kgn-a"
+	revision := store.View().Revision()
+	if got := sendRaw(t, http.MethodPut, url, `{}`); got != http.StatusPreconditionRequired {
+		t.Errorf("got status %d for a PUT without a precondition, want 428", got)
+	}
+	if got := sendRaw(t, http.MethodPut, strings.Replace(url, "kgn-a", "spn-c", 1), `{}`); got != http.StatusPreconditionRequired {
+		t.Errorf("got status %d for a PUT of a new object without a precondition, want 428", got)
+	}
+	if got := sendRaw(t, http.MethodPut, url, `{}`, "If-Match", "seven"); got != http.StatusBadRequest {
+		t.Errorf("got status %d for a PUT with a version that is no number, want 400", got)
+	}
+	if got := sendRaw(t, http.MethodDelete, url, ""); got != http.StatusPreconditionRequired {
+		t.Errorf("got status %d for a DELETE without a precondition, want 428", got)
+	}
+	if got := store.View().Revision(); got != revision {
+		t.Errorf("got revision %d after refused changes, want %d", got, revision)
+	}
+}
--- a/operator/change.go
+++ b/operator/change.go
@@ -48,9 +48,9 @@
 		return writeFailure(c, fiber.StatusBadRequest, "bad-json", err.Error(), "send an object as the API's description has it")
 	}
 	o.Kind, o.Name, o.Shard = config.Kind(c.Params("kind")), c.Params("name"), 0
-	w, err := a.parsePrecondition(c, o)
-	if err != nil {
-		return err
+	w, refusal := parsePrecondition(c, o)
+	if refusal != nil {
+		return c.Status(refusal.status).JSON(&refusal.Failure)
 	}
 	return a.commitChange(c, o, func(s *config.State) (*config.Change, config.Effects, error) { return config.Plan(s, w) })
 }
@@ -58,9 +58,9 @@
 // deleteObject deletes an object.
 func (a *API) deleteObject(c *fiber.Ctx) error {
 	o := &config.Object{Kind: config.Kind(c.Params("kind")), Name: c.Params("name")}
-	w, err := a.parsePrecondition(c, o)
-	if err != nil {
-		return err
+	w, refusal := parsePrecondition(c, o)
+	if refusal != nil {
+		return c.Status(refusal.status).JSON(&refusal.Failure)
 	}
 	w.Delete = true
 	return a.commitChange(c, o, func(s *config.State) (*config.Change, config.Effects, error) { return config.Plan(s, w) })
@@ -75,9 +75,9 @@
 		return writeFailure(c, fiber.StatusBadRequest, "bad-json", err.Error(), `send {"set":{"k":"v"},"remove":["k"]}`)
 	}
 	id := config.ID{Kind: config.Kind(c.Params("kind")), Name: c.Params("name")}
-	w, err := a.parsePrecondition(c, nil)
-	if err != nil {
-		return err
+	w, refusal := parsePrecondition(c, nil)
+	if refusal != nil {
+		return c.Status(refusal.status).JSON(&refusal.Failure)
 	}
 	requested := &config.Object{Kind: id.Kind, Name: id.Name, Labels: l.Set}
 	return a.commitChange(c, requested, func(s *config.State) (*config.Change, config.Effects, error) {
@@ -98,11 +98,16 @@
 	})
 }
 
+// preconditionRefusal is why a request is refused whose precondition is missing or invalid.
+type preconditionRefusal struct {
+	Failure
+	status int
+}
+
 // parsePrecondition returns the requested change of o from a request's headers and query:
 // If-Match with a version or "*", or If-None-Match: * to create; and force. Without If-Match,
-// any version matches if o is nil. If the headers are missing or invalid, it writes an error
-// response and returns the result of that write.
-func (a *API) parsePrecondition(c *fiber.Ctx, o *config.Object) (config.ChangeRequest, error) {
+// any version matches if o is nil. If the headers are missing or invalid, it returns a refusal.
+func parsePrecondition(c *fiber.Ctx, o *config.Object) (config.ChangeRequest, *preconditionRefusal) {
 	w := config.ChangeRequest{Object: o, Force: c.QueryBool("force")}
 	match := strings.Trim(c.Get(fiber.HeaderIfMatch), `"`)
 	switch {
@@ -111,11 +116,13 @@
 	case match != "":
 		n, err := strconv.ParseUint(match, 10, 64)
 		if err != nil {
-			return w, writeFailure(c, fiber.StatusBadRequest, "bad-version", fmt.Sprintf("If-Match %q", match), "send the version that you read, or *")
+			return w, &preconditionRefusal{Failure{Code: "bad-version", Message: fmt.Sprintf("If-Match %q", match), Remedy: "send the version that you read, or *"}, fiber.StatusBadRequest}
 		}
 		w.BaseVersion = n
 	case c.Get(fiber.HeaderIfNoneMatch) != "*":
-		return w, writeFailure(c, fiber.StatusPreconditionRequired, "no-version", "neither If-Match nor If-None-Match: *", "send If-Match with the version that you read, or If-None-Match: * to create")
+		return w, &preconditionRefusal{Failure{
+			Code: "no-version", Message: "neither If-Match nor If-None-Match: *", Remedy: "send If-Match with the version that you read, or If-None-Match: * to create",
+		}, fiber.StatusPreconditionRequired}
 	}
 	return w, nil
 }
