Settings refuse NaN

Cause: NaN is neither below the minimum nor above the maximum. Change: a number must be within the bounds. Evidence: TestNumberThatIsNoneIsRefused failed for three keys before and passes.

--- a/settings/gateway.go
+++ b/settings/gateway.go
@@ -131,7 +131,7 @@
 func gatewayFloatSetter(field func(*Gateway) *float64, minimum, maximum float64) func(*Gateway, string) string {
 	return func(g *Gateway, value string) string {
 		x, err := strconv.ParseFloat(value, 64)
-		if err != nil || x < minimum || x > maximum {
+		if err != nil || !(x >= minimum && x <= maximum) { // NaN is neither
 			return fmt.Sprintf("give a number from %g to %g", minimum, maximum)
 		}
 		*field(g) = x
@@ -143,7 +143,7 @@
 func gatewayDurationSetter(field func(*Gateway) *time.Duration, unit time.Duration) func(*Gateway, string) string {
 	return func(g *Gateway, value string) string {
 		x, err := strconv.ParseFloat(value, 64)
-		if err != nil || x <= 0 || x > 1e7 {
+		if err != nil || !(x > 0 && x <= 1e7) {
 			return "give a number above 0"
 		}
 		*field(g) = time.Duration(x * float64(unit))
--- a/settings/gateway_test.go
+++ b/settings/gateway_test.go
@@ -56,3 +56,16 @@
 		}
 	})
 }
+
+func TestNumberThatIsNoneIsRefused(t *testing.T) {
+	for _, line := range []string{"cold-over = NaN", "retry-window-s = NaN", "grace-s = nan"} {
+		_, err := settings.ParseGateway([]byte(validGateway + line + "\n"))
+		var errs settings.SettingErrors
+		if !errors.As(err, &errs) || len(errs) != 1 {
+			t.Errorf("%s: got %v, want one error", line, err)
+		}
+	}
+	if _, err := settings.ParseGateway([]byte(strings.Replace(validGateway, "ip = ", "first-start = yes\nip = ", 1))); err == nil {
+		t.Error("got no error for a switch that is neither true nor false")
+	}
+}
