One router of a group logs the streams of all

Cause: the period of a router's writes grows with the fleet, to 0.7 s at 90 routers, and what has begun within it is lost with a kill. A shorter one would cost 300 writes a second.

Change: with more than 20 routers, the routers of a zone tell every sixth one by datagrams (each stream twice) what has begun and ended, and that one writes a row for all, up to three times a second and at most 3 KB/s for each router. The rows of all zones are read at once up to 100 routers, and less often.

--- a/gateway/fleet.go
+++ b/gateway/fleet.go
@@ -13,6 +13,7 @@
 	"bulrushtally/platform"
 	"bulrushtally/serverlimit"
 	"bulrushtally/serverstatus"
+	"bulrushtally/streamversion"
 )
 
 var _ gossip.Handler = (*Gateway)(nil)
@@ -76,6 +77,14 @@
 	}
 }
 
+// StreamReport returns what this router tells the one that logs its streams.
+func (g *Gateway) StreamReport(collector string) *streamversion.Report {
+	return g.streams.report(collector)
+}
+
+// ApplyStreamReport applies what another router of the zone tells of its streams.
+func (g *Gateway) ApplyStreamReport(r *streamversion.Report) { g.streams.collect(r) }
+
 // ZoneUpdate returns the recent changes of the store, for the other routers of the zone. It
 // returns nil if this router does not poll the store, or if every router does because
 // the fleet is small.
--- a/gateway/streamrows.go
+++ b/gateway/streamrows.go
@@ -34,13 +34,19 @@
 	return s.read([2]string{"", ""})
 }
 
-// readZone reads what the store tells of streams of this zone, or of all in a small fleet.
+// readZone reads what the store tells of streams of this zone, or of all unless there are many rows.
 func (s *streams) readZone() (*streamversion.Snapshot, error) {
-	if !s.large() {
+	if !s.manyRows() {
 		return s.readAll()
 	}
-	zone := streamsPrefix + s.Zone + "/"
-	return s.read([2]string{versionsKey, versionsKey + "\x00"}, [2]string{zone, prefixEnd(zone)})
+	s.mu.Lock()
+	several := s.keeper.Logs()
+	s.mu.Unlock()
+	if several {
+		zone := streamsPrefix + s.Zone + "/"
+		return s.read([2]string{zone, prefixEnd(zone)})
+	}
+	return s.read([2]string{versionsKey, versionsKey + "\x00"})
 }
 
 // read reads ranges of keys.
@@ -69,8 +75,19 @@
 	return n, nil
 }
 
-// large reports whether the fleet is so large that rows of other zones are read only if those of this zone do not have a stream.
-func (s *streams) large() bool { return s.Routers() > gossip.ZoneSummaryThreshold }
+// manyRowsRouters is the number of routers above which their rows are many.
+const manyRowsRouters = 100
+
+// manyRows reports whether the rows of other zones are read only if those of this zone do not have a stream.
+func (s *streams) manyRows() bool { return s.Routers() > manyRowsRouters }
+
+// writers returns how many routers of the fleet write a row.
+func (s *streams) writers() int {
+	if n := s.Routers(); n <= gossip.ZoneSummaryThreshold {
+		return n
+	}
+	return (s.Routers() + streamversion.GroupSize - 1) / streamversion.GroupSize
+}
 
 // prefixEnd returns the first key after all that start with a prefix, which ends with a slash.
 func prefixEnd(prefix string) string { return strings.TrimSuffix(prefix, "/") + "0" }
--- a/gateway/streams.go
+++ b/gateway/streams.go
@@ -67,9 +67,10 @@
 	logged   tally.Gauge
 	done     chan struct{}
 
-	mu     sync.Mutex
-	log    *streamversion.Log
-	keeper *streamversion.Keeper
+	mu        sync.Mutex
+	log       *streamversion.Log
+	keeper    *streamversion.Keeper
+	collector string // router that logs the streams of this one, "" if it does so itself
 
 	// Used by run alone.
 	listNumber uint64 // of the list of versions that keeper has
@@ -138,7 +139,7 @@
 			return f
 		}
 	}
-	if n == nil || !s.large() {
+	if n == nil || !s.manyRows() {
 		return streamversion.Finding{}
 	}
 	if n = s.allRows.next(ctx); n == nil {
@@ -254,6 +255,28 @@
 	}
 }
 
+// report returns what this router tells the one that logs its streams, if that is another one and they are to be logged.
+func (s *streams) report(collector string) *streamversion.Report {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if collector != s.collector {
+		s.collector = collector
+		s.log.Retell()
+	}
+	if collector == "" || !s.keeper.Logs() {
+		return nil
+	}
+	return s.log.Report()
+}
+
+// collect records what another router tells of its streams.
+func (s *streams) collect(r *streamversion.Report) {
+	now := time.Now()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.log.Collect(now, r, now.Add(min(s.LongestStream(), maxLongestStream)))
+}
+
 // storeRestored has the row of versions read again after the store came back from a copy.
 func (s *streams) storeRestored() {
 	s.mu.Lock()
@@ -264,7 +287,7 @@
 // writeLog writes this router's row if it has changed and streams are to be logged in the store.
 func (s *streams) writeLog(now time.Time) {
 	s.mu.Lock()
-	due := s.log.Changed() && s.keeper.Logs() && now.Sub(s.writtenAt) >= streamversion.LogPeriod(s.Routers())
+	due := s.log.Changed() && s.keeper.Logs() && now.Sub(s.writtenAt) >= streamversion.LogPeriod(s.writers(), s.log.Len()) && (s.collector == "" || s.log.Collected())
 	var value []byte
 	var err error
 	count := s.log.Len()
--- a/gossip/gossip.go
+++ b/gossip/gossip.go
@@ -17,6 +17,7 @@
 	"github.com/rs/zerolog"
 
 	"bulrushtally/placement"
+	"bulrushtally/streamversion"
 )
 
 // Timing of summaries.
@@ -47,6 +48,11 @@
 	// ApplyNotices processes the notices of another router or zone. sameZone is set if it belongs to this
 	// router's zone.
 	ApplyNotices(m *Notices, sameZone bool)
+	// StreamReport returns what this router tells the one that logs its streams, or nil if there is nothing to tell. The name of
+	// that one is "" if this router logs them itself.
+	StreamReport(collector string) *streamversion.Report
+	// ApplyStreamReport processes what another router tells of its streams.
+	ApplyStreamReport(r *streamversion.Report)
 	// FleetChanged is called in each period with the current state of the fleet.
 	FleetChanged(f Fleet)
 	// RouterUnreachable is called with the name of a sender of summaries when none has come
@@ -181,6 +187,7 @@
 	kindZone      = 'z' // zone summary, to be forwarded within the receiver's zone
 	kindForwarded = 'p' // zone summary that has been forwarded
 	kindNotices   = 'q'
+	kindStreams   = 'b' // streams that a router has begun, to its collector
 )
 
 // send sends a datagram to each address.
@@ -211,6 +218,7 @@
 		g.handler.RouterUnreachable(name)
 	}
 	g.handler.FleetChanged(m.fleet)
+	g.sendStreams(m)
 	if m.sendsZone != g.sendsZone {
 		g.sendsZone = m.sendsZone
 		g.logger.Info().Bool("sends", m.sendsZone).Int("zone_rank", m.fleet.ZoneRank).Int("routers", m.fleet.Alive).Msg("zone-sender-duty")
@@ -349,6 +357,11 @@
 		if err = cbor.Unmarshal(data, m); err == nil {
 			g.handleNotices(m)
 		}
+	case kindStreams:
+		r := &streamversion.Report{}
+		if err = cbor.Unmarshal(data, r); err == nil {
+			g.handler.ApplyStreamReport(r)
+		}
 	default:
 		err = errUnknownKind
 	}
--- a/gossip/gossip_test.go
+++ b/gossip/gossip_test.go
@@ -15,6 +15,7 @@
 	"bulrushtally/gossip"
 	"bulrushtally/placement"
 	"bulrushtally/quarantine"
+	"bulrushtally/streamversion"
 )
 
 // recordingHandler records the summaries and calls that it receives.
@@ -30,6 +31,8 @@
 	zoneHeardAt map[string]time.Time     // when the last zone summary came, by zone
 	zoneSilence map[string]time.Duration // longest time between two zone summaries, by zone
 	quarantine  *quarantine.Quarantine
+	collector   string          // that the router's last stream report was for
+	told        map[string]bool // by router whose stream report came: whether this router was a collector then
 }
 
 func (r *recordingHandler) Summary() *placement.Summary {
@@ -80,6 +83,22 @@
 	return &gossip.Notices{Quarantine: r.quarantine.OwnReports(time.Now())}
 }
 
+// StreamReport reports a stream at a version that has the router's name.
+func (r *recordingHandler) StreamReport(collector string) *streamversion.Report {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.collector = collector
+	return &streamversion.Report{Begun: map[string][]byte{r.name: make([]byte, 8)}}
+}
+
+func (r *recordingHandler) ApplyStreamReport(report *streamversion.Report) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for name := range report.Begun {
+		r.told[name] = r.collector == ""
+	}
+}
+
 func (r *recordingHandler) ApplyNotices(m *gossip.Notices, sameZone bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -117,7 +136,7 @@
 
 func startInZone(t *testing.T, zone, name string) (*gossip.Gossip, *recordingHandler, context.CancelFunc) {
 	t.Helper()
-	r := &recordingHandler{name: name, zone: zone, quarantine: quarantine.New(), received: map[string]int{}, unreachable: map[string]bool{}, zoneHeardAt: map[string]time.Time{}, zoneSilence: map[string]time.Duration{}}
+	r := &recordingHandler{name: name, zone: zone, quarantine: quarantine.New(), received: map[string]int{}, unreachable: map[string]bool{}, zoneHeardAt: map[string]time.Time{}, zoneSilence: map[string]time.Duration{}, told: map[string]bool{}}
 	g, err := gossip.New(name, zone, "127.0.0.1:0", r, zerolog.Nop())
 	if err != nil {
 		t.Fatal(err)
@@ -183,6 +202,28 @@
 	return routers, stops
 }
 
+// In a large fleet, the first router of each group of a zone is told the streams of the others.
+func TestCollectorIsToldTheStreamsOfItsGroup(t *testing.T) {
+	routers, _ := startLargeFleet(t) // r00, r02 to r22 in one zone
+	for _, collector := range []int{0, 12} {
+		r := routers[collector]
+		others := func() bool {
+			for i := collector + 2; i < collector+2*streamversion.GroupSize; i += 2 {
+				if !r.told[routers[i].name] {
+					return false
+				}
+			}
+			return r.collector == ""
+		}
+		if !r.eventually(others) {
+			t.Errorf("got reports of %v at %s, want of all others of its group", r.told, r.name)
+		}
+	}
+	if !routers[4].eventually(func() bool { return routers[4].collector == "r00" }) || !routers[22].eventually(func() bool { return routers[22].collector == "r12" }) {
+		t.Errorf("got collectors %q and %q, want r00 and r12", routers[4].collector, routers[22].collector)
+	}
+}
+
 // In a large fleet zones receive each other's zone summaries, also after the router that sends
 // them for a zone has stopped.
 func TestZonesExchangeSummaries(t *testing.T) {
--- a/streamversion/fleet_test.go
+++ b/streamversion/fleet_test.go
@@ -79,6 +79,25 @@
 	return f
 }
 
+// largeFleet is the number of routers from which on groups of them have a collector.
+const largeFleet = 20
+
+// collector returns the router that logs the streams of another one, which may be that one.
+func (f *fleet) collector(i int) *router {
+	if len(f.routers) <= largeFleet {
+		return f.routers[i]
+	}
+	return f.routers[i-i%streamversion.GroupSize]
+}
+
+// writers returns how many routers write a row.
+func (f *fleet) writers() int {
+	if len(f.routers) <= largeFleet {
+		return len(f.routers)
+	}
+	return len(f.routers)/streamversion.GroupSize + 1
+}
+
 func (f *fleet) newRouter(firstStart bool) *router {
 	f.starts++
 	r := &router{name: fmt.Sprint("router-", f.starts), keeper: streamversion.NewKeeper(firstStart), log: streamversion.NewLog()}
@@ -102,8 +121,9 @@
 func (f *fleet) pass(d time.Duration) {
 	const period = 100 * time.Millisecond
 	for end := f.now.Add(d); f.now.Before(end); f.now = f.now.Add(period) {
-		for _, r := range f.routers {
+		for i, r := range f.routers {
 			f.tick(r)
+			f.log(r, f.collector(i))
 			if f.random.IntN(2) == 0 {
 				f.begin(r)
 			}
@@ -129,7 +149,20 @@
 		r.readAt = f.now.Add(rand.N(streamversion.ReadPeriod(len(f.routers), false)))
 		f.keep(r)
 	}
-	if r.log.Changed() && r.keeper.Logs() && f.now.Sub(r.writtenAt) >= streamversion.LogPeriod(len(f.routers)) && !f.table.silent {
+}
+
+// log has a router's streams logged, by a collector that hears nine in ten of its reports or by itself.
+func (f *fleet) log(r, collector *router) {
+	if !r.keeper.Logs() {
+		return
+	}
+	if r != collector {
+		if report := r.log.Report(); report != nil && f.random.IntN(10) != 0 {
+			collector.log.Collect(f.now, report, f.now.Add(f.longestStream()))
+		}
+		return
+	}
+	if r.log.Changed() && f.now.Sub(r.writtenAt) >= streamversion.LogPeriod(f.writers(), r.log.Len()) && !f.table.silent {
 		value, err := r.log.Row(f.now)
 		if err != nil {
 			f.t.Fatal(err)
--- a/streamversion/log.go
+++ b/streamversion/log.go
@@ -4,6 +4,7 @@
 
 import (
 	"encoding/binary"
+	"iter"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -34,17 +35,21 @@
 type begun struct {
 	version string
 	until   time.Time // when it can no longer be taken up
-	inRow   bool      // a Row has it
+	inRow   bool      // a Row or a Report has it
+	told    int       // Reports that have it
+	other   bool      // another router has begun it
 }
 
-// Log holds the streams that a router has begun, or taken up, and that may be taken up. Its zero value is not usable.
+// Log holds the streams that a router has begun, or taken up, and that may be taken up, and those of the routers that it
+// collects. Its zero value is not usable.
 type Log struct {
 	streams map[Stream]begun
-	changed bool // a stream was added since the last Row
+	ended   map[Stream]int // streams that have ended, with the Reports that say so
+	changed bool           // a stream was added since the last Row
 }
 
 // NewLog returns an empty Log.
-func NewLog() *Log { return &Log{streams: map[Stream]begun{}} }
+func NewLog() *Log { return &Log{streams: map[Stream]begun{}, ended: map[Stream]int{}} }
 
 // Begin records that a stream is about to begin at a version, or has, and may be taken up until a time. If the stream is known
 // to have begun at another one, its version is unknown from now on.
@@ -59,9 +64,12 @@
 	if ok && known.until.After(until) {
 		until = known.until
 	}
-	changed := !ok || known.version != version
-	l.streams[s] = begun{version, until, known.inRow && !changed}
-	l.changed = l.changed || changed
+	if changed := !ok || known.version != version; changed {
+		known, l.changed = begun{version: version}, true
+	}
+	known.until, known.other = until, false
+	l.streams[s] = known
+	delete(l.ended, s)
 }
 
 // Withdraw drops a stream that has not begun after all, and reports whether it may begin at another version: only if no Row
@@ -77,10 +85,17 @@
 
 // End records that a stream was sent to its end.
 func (l *Log) End(now time.Time, s Stream) {
-	if b, ok := l.streams[s]; ok && now.Add(endedDelay).Before(b.until) {
+	b, ok := l.streams[s]
+	if !ok {
+		return
+	}
+	if b.until.After(now.Add(endedDelay)) {
 		b.until = now.Add(endedDelay)
 		l.streams[s] = b
 	}
+	if b.told > 0 && !b.other {
+		l.ended[s] = 0
+	}
 }
 
 // Expire drops the streams that can no longer be taken up.
@@ -88,6 +103,7 @@
 	for s, b := range l.streams {
 		if now.After(b.until) {
 			delete(l.streams, s)
+			delete(l.ended, s)
 		}
 	}
 }
@@ -110,6 +126,17 @@
 
 const streamBytes = 8
 
+// streamsIn returns the streams that a row or a Report holds.
+func streamsIn(ids []byte) iter.Seq[Stream] {
+	return func(yield func(Stream) bool) {
+		for ; len(ids) >= streamBytes; ids = ids[streamBytes:] {
+			if !yield(Stream(binary.BigEndian.Uint64(ids))) {
+				return
+			}
+		}
+	}
+}
+
 // Row returns the value of the router's row of the store. If there are too many streams for a row, some are left out.
 func (l *Log) Row(now time.Time) ([]byte, error) {
 	l.changed = false
--- a/streamversion/pace.go
+++ b/streamversion/pace.go
@@ -7,15 +7,20 @@
 
 const (
 	minLogPeriod       = 300 * time.Millisecond
-	logDelayPerRouter  = 8 * time.Millisecond
+	logDelayPerWriter  = 8 * time.Millisecond
 	minReadPeriod      = 30 * time.Millisecond
-	readDelayPerRouter = 2 * time.Millisecond
+	readDelayPerRouter = 5 * time.Millisecond
 	allZonesFactor     = 5 // a read of all zones' rows is as long as that of some zones'
 )
 
-// LogPeriod returns the least time between two writes of a router's row in a fleet of so many routers.
-func LogPeriod(routers int) time.Duration {
-	return max(minLogPeriod, time.Duration(routers)*logDelayPerRouter)
+// logBytesPerSecond bounds what a collector writes, as 3 KB/s for each router of its group.
+const logBytesPerSecond = GroupSize * 3000
+
+// LogPeriod returns the least time between two writes of a router's row with so many streams, in a fleet where so many
+// routers write one.
+func LogPeriod(writers, streams int) time.Duration {
+	bytes := min(streams, maxInRow) * streamBytes
+	return max(minLogPeriod, time.Duration(writers)*logDelayPerWriter, time.Duration(bytes)*time.Second/logBytesPerSecond)
 }
 
 // ReadPeriod returns the least time between two reads of a router for streams that callers take up.
--- a/streamversion/snapshot.go
+++ b/streamversion/snapshot.go
@@ -3,7 +3,6 @@
 // This file defines Snapshot, what the rows of the store tell of streams.
 
 import (
-	"encoding/binary"
 	"encoding/json"
 	"fmt"
 	"time"
@@ -37,8 +36,7 @@
 		return time.Time{}, fmt.Errorf("row of a router's streams: %w", err)
 	}
 	for version, ids := range row.Streams {
-		for ; len(ids) >= streamBytes; ids = ids[streamBytes:] {
-			s := Stream(binary.BigEndian.Uint64(ids))
+		for s := range streamsIn(ids) {
 			if known, ok := n.begun[s]; ok && known != version {
 				n.begun[s] = ""
 				continue
--- a/streamversion/streamversion_test.go
+++ b/streamversion/streamversion_test.go
@@ -232,6 +232,39 @@
 	}
 }
 
+func TestCollectorLogsTheStreamsOfOthers(t *testing.T) {
+	now := time.Unix(1e9, 0)
+	own, collector := streamversion.NewLog(), streamversion.NewLog()
+	own.Begin(7, "v1", now.Add(time.Minute))
+	own.Begin(8, "v2", now.Add(time.Minute))
+	if own.Report() == nil { // lost on its way
+		t.Fatal("got nothing to tell of two streams")
+	}
+	if own.Withdraw(7) {
+		t.Error("got a stream free to begin at another version than a report tells")
+	}
+	collector.Collect(now, own.Report(), now.Add(time.Minute))
+	if f, _ := collector.Find(8); f.Version != "v2" || !collector.Collected() {
+		t.Errorf("got version %q from the collector after a lost report, want v2", f.Version)
+	}
+	if r := own.Report(); r != nil {
+		t.Errorf("got %v told a third time, want nothing", r)
+	}
+	own.End(now, 7)
+	collector.Collect(now, own.Report(), now.Add(time.Minute))
+	collector.Expire(now.Add(10 * time.Second))
+	if _, ok := collector.Find(7); ok {
+		t.Error("got a stream that has ended at the collector 10 s later")
+	}
+	if _, ok := collector.Find(8); !ok {
+		t.Error("got no stream that has not ended at the collector")
+	}
+	own.Retell()
+	if r := own.Report(); r == nil || len(r.Begun) == 0 {
+		t.Errorf("got %v to tell another collector, want the streams", r)
+	}
+}
+
 func TestAttemptOfAnotherCustomerOrServiceIsAnotherStream(t *testing.T) {
 	if streamversion.StreamOf("models", "a", "x") == streamversion.StreamOf("models", "b", "x") {
 		t.Error("got the same stream for two customers")
