A store that lost the row of versions is not taken for a first start

Change: the first row that a router has seen ends its first start. Evidence: TestCopyOfBeforeTheFirstRowIsNotTakenForAFirstStart failed before and passes.

--- a/streamversion/keeper.go
+++ b/streamversion/keeper.go
@@ -124,6 +124,7 @@
 	if k.row == nil || v == nil || v.Era != k.row.Era {
 		clear(k.unsureSince) // services became unsure anew
 	}
+	k.firstStart = k.firstStart && v == nil && k.row == nil
 	k.row, k.era, k.loaded, k.loadedAt, k.outdated = v, era, true, now, false
 	for service, versions := range k.seen {
 		for version, p := range versions {
--- a/streamversion/streamversion_test.go
+++ b/streamversion/streamversion_test.go
@@ -289,6 +289,24 @@
 	}
 }
 
+// The fleet starts for the first time, and the store then comes back from a copy of before its first row.
+func TestCopyOfBeforeTheFirstRowIsNotTakenForAFirstStart(t *testing.T) {
+	k := streamversion.NewKeeper(true)
+	now := time.Unix(1e9, 0)
+	listed := map[string]map[string]bool{service: {"v1": true}}
+	k.Observe(now, now, listed)
+	k.Load(now, nil, 1)
+	first, _ := k.Next(now)
+	if first.Services[service].Unsure {
+		t.Error("got a service unsure at the first start")
+	}
+	k.Load(now, first, 1)
+	k.Load(now, nil, 2)
+	if next, _ := k.Next(now); !next.Services[service].Unsure {
+		t.Error("got a service of one version for certain after the store lost its row, want it unsure")
+	}
+}
+
 // A router had read that a version is in use, and another one retired it while no server had it.
 func TestVersionThatWasMissingBeginsStreamsOnlyAfterTheRowWasReadAgain(t *testing.T) {
 	k := streamversion.NewKeeper(true)
