A stream that a collector was told twice is still another router's

Evidence: TestCollectorLogsTheStreamsOfOthers, which now tells twice, failed before and passes. The field that a row or report has a stream is named published.

--- a/streamversion/log.go
+++ b/streamversion/log.go
@@ -33,11 +33,11 @@
 
 // begun is a stream that has begun.
 type begun struct {
-	version string
-	until   time.Time // when it can no longer be taken up
-	inRow   bool      // a Row or a Report has it
-	told    int       // Reports that have it
-	other   bool      // another router has begun it
+	version   string
+	until     time.Time // when it can no longer be taken up
+	published bool      // a Row or a Report has it
+	told      int       // Reports that have it
+	other     bool      // another router has begun it
 }
 
 // Log holds the streams that a router has begun, or taken up, and that may be taken up, and those of the routers that it
@@ -73,10 +73,10 @@
 }
 
 // Withdraw drops a stream that has not begun after all, and reports whether it may begin at another version: only if no Row
-// has it.
+// and no Report has it.
 func (l *Log) Withdraw(s Stream) bool {
 	b, ok := l.streams[s]
-	if ok && b.inRow {
+	if ok && b.published {
 		return false
 	}
 	delete(l.streams, s)
@@ -146,8 +146,8 @@
 		if n++; n > maxInRow {
 			break
 		}
-		if !b.inRow {
-			b.inRow = true
+		if !b.published {
+			b.published = true
 			l.streams[s] = b
 		}
 		row.Streams[b.version] = binary.BigEndian.AppendUint64(row.Streams[b.version], uint64(s))
--- a/streamversion/report.go
+++ b/streamversion/report.go
@@ -32,7 +32,7 @@
 			continue
 		}
 		n++
-		b.told, b.inRow = b.told+1, true
+		b.told, b.published = b.told+1, true
 		l.streams[s] = b
 		r.Begun[b.version] = binary.BigEndian.AppendUint64(r.Begun[b.version], uint64(s))
 	}
@@ -67,9 +67,9 @@
 func (l *Log) Collect(now time.Time, r *Report, until time.Time) {
 	for version, ids := range r.Begun {
 		for s := range streamsIn(ids) {
-			_, known := l.streams[s]
+			was, known := l.streams[s]
 			l.Begin(s, version, until)
-			if b, ok := l.streams[s]; ok && !known {
+			if b, ok := l.streams[s]; ok && (was.other || !known) {
 				b.other = true
 				l.streams[s] = b
 			}
--- a/streamversion/streamversion_test.go
+++ b/streamversion/streamversion_test.go
@@ -247,6 +247,10 @@
 	if f, _ := collector.Find(8); f.Version != "v2" || !collector.Collected() {
 		t.Errorf("got version %q from the collector after a lost report, want v2", f.Version)
 	}
+	own.Retell()
+	for range 2 {
+		collector.Collect(now, own.Report(), now.Add(time.Minute))
+	}
 	if r := own.Report(); r != nil {
 		t.Errorf("got %v told a third time, want nothing", r)
 	}
