--- a/streamversion/doc.go
+++ b/streamversion/doc.go
@@ -7,6 +7,7 @@
 //
 //   - A Log holds the streams that a router has begun and that may still be taken up.
 //   - Each router writes its Log to a row of the store, but only while a service has streams of several versions, or may have.
+//     In a large fleet a collector does so for its group, whose routers send it Reports.
 //   - One row of the store, Versions, lists the versions at which streams may have begun. A version is in it before the first
 //     stream begins there, and stays until the last stream of it has ended. If it lists one version of a service, that is the
 //     version of each stream of the service, and no Log is needed.
--- a/streamversion/finding.go
+++ b/streamversion/finding.go
@@ -37,8 +37,8 @@
 	return found(b.version, OwnLog), ok
 }
 
-// Find returns the version of a stream of a service by the rows of the store. It is only known to be missing there if it has
-// begun before the rows were read.
+// Find returns the version of a stream of a service by the rows of the store, and false if they do not tell it. They must have
+// been read after the caller took the stream up: a version may have come into use since an earlier read.
 func (n *Snapshot) Find(service string, s Stream) (f Finding, ok bool) {
 	if version, ok := n.begun[s]; ok {
 		return found(version, OtherLog), true
@@ -49,7 +49,7 @@
 	return Finding{}, false
 }
 
-// Logs reports whether a router's row has the stream, which holds whenever the rows were read.
+// Logs reports whether a router's row has the stream. Such a row stays right, also in a Snapshot of some time ago.
 func (n *Snapshot) Logs(s Stream) bool {
 	_, ok := n.begun[s]
 	return ok
