Services without streams have no row of versions

What callers saw: nothing.

Cause: the keeping of stream versions. After the return each router read the row of versions and one wrote it anew (3 calls of two routers), also in a fleet none of whose services has streams that may be taken up, as the one of the test.

Change: only services to which a resumable route leads are listed to the keeper, and it reads nothing while none is. This also ends the known gap that two versions of a service without streams had all streams logged.

Result: TestRowIsNotReadWithoutServersThatKeepVersions and TestServiceWithoutStreamsCostsNoReadsOfVersions failed before ("got a read at the start", "got a row of versions for a service without streams") and pass; TestServiceThatGetsStreamsKeepsVersions passes. In a fleet with running streams the return still costs one read of each router and one write more.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -132,7 +132,7 @@
 	g.followers.quarantine = g.newFollower(QuarantineTable, g.suspects, func() time.Duration { return quarantineLongPoll })
 	g.streams = newStreams(streamOptions{
 		VM: s.VM, Zone: s.Zone, Incarnation: strconv.FormatUint(g.incarnation, 10), FirstStart: s.FirstStart, Store: g.store, Placer: g.placer,
-		ListCurrentAt: g.followers.servers.CurrentAt, Routers: func() int { return int(g.knownRouters.Load()) }, LongestStream: g.longestStream,
+		ListCurrentAt: g.followers.servers.CurrentAt, Routers: func() int { return int(g.knownRouters.Load()) }, Config: g.currentConfig.Table,
 		Clock: boottime, Metrics: g.metrics, Logger: g.logger,
 	})
 	var err error
@@ -179,15 +179,6 @@
 	})
 }
 
-// longestStream returns how long a stream may last by the configuration, 0 if there is none.
-func (g *Gateway) longestStream() time.Duration {
-	t := g.currentConfig.Table()
-	if t == nil {
-		return 0
-	}
-	return t.LongestStream()
-}
-
 // readDelay returns how long this router waits before it reads a table of a store that came back from a copy. It is random and
 // grows with the number of routers, since all of them read.
 func (g *Gateway) readDelay() time.Duration {
--- a/gateway/streams.go
+++ b/gateway/streams.go
@@ -16,6 +16,7 @@
 	"bulrushtally/ingress"
 	"bulrushtally/placement"
 	"bulrushtally/platform"
+	"bulrushtally/route"
 	"bulrushtally/streamversion"
 )
 
@@ -52,7 +53,7 @@
 	Placer        *placement.Placement
 	ListCurrentAt func() time.Duration // clock reading at which the list of backend servers was current
 	Routers       func() int           // routers of the fleet
-	LongestStream func() time.Duration // by the configuration
+	Config        func() *route.Table  // in force, nil before there is one
 	Clock         func() time.Duration
 	Metrics       tally.Scope
 	Logger        zerolog.Logger
@@ -73,8 +74,10 @@
 	collector string // router that logs the streams of this one, "" if it does so itself
 
 	// Used by run alone.
-	listNumber uint64 // of the list of versions that keeper has
-	list       map[string]map[string]bool
+	listNumber uint64                     // of servers
+	servers    map[string]map[string]bool // versions of the servers of each service
+	config     *route.Table               // by which list was made
+	list       map[string]map[string]bool // of servers, the services whose streams keep to a version
 	admitted   map[string]map[string]bool
 	readAt     time.Time // earliest time of the next read of the row of versions
 	writtenAt  time.Time // of this router's row
@@ -189,19 +192,45 @@
 	}
 }
 
+// updateList makes the list anew if the servers or the configuration changed.
+func (s *streams) updateList() {
+	servers, number := s.Placer.Versions(s.listNumber)
+	config := s.Config()
+	if servers == nil && config == s.config {
+		return
+	}
+	if servers != nil {
+		s.servers, s.listNumber = servers, number
+	}
+	s.config, s.list = config, map[string]map[string]bool{}
+	for service, versions := range s.servers {
+		if config != nil && config.KeepsVersion(service) {
+			s.list[service] = versions
+		}
+	}
+}
+
+// longestStream returns how long a stream may last by the configuration, 0 if there is none.
+func (s *streams) longestStream() time.Duration {
+	if t := s.Config(); t != nil {
+		return min(t.LongestStream(), maxLongestStream)
+	}
+	return 0
+}
+
 // observe passes the list of servers to the keeper, and the versions that it admits to the placement. It reports whether the
 // row of versions is to be read.
 func (s *streams) observe(now time.Time) (read bool) {
-	list, number := s.Placer.Versions(s.listNumber)
-	if list != nil {
-		s.list, s.listNumber = list, number
-	}
+	s.updateList()
 	listAge := s.Clock() - s.ListCurrentAt()
 	s.mu.Lock()
 	s.log.Expire(now)
-	s.keeper.SetLongestStream(min(s.LongestStream(), maxLongestStream))
+	s.keeper.SetLongestStream(s.longestStream())
 	s.keeper.Observe(now, now.Add(-listAge), s.list)
 	admits := map[string]map[string]bool{}
+	for service := range s.admitted {
+		admits[service] = nil // unless it is still listed
+	}
 	for service := range s.list {
 		admits[service] = s.keeper.Admits(now, service)
 	}
@@ -274,7 +303,7 @@
 	now := time.Now()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.log.Collect(now, r, now.Add(min(s.LongestStream(), maxLongestStream)))
+	s.log.Collect(now, r, now.Add(s.longestStream()))
 }
 
 // storeRestored has the row of versions read again after the store came back from a copy.
--- a/gateway/version_test.go
+++ b/gateway/version_test.go
@@ -301,3 +301,34 @@
 		t.Errorf("got %d streams going on, %d of them at another version, want none; log:\n%s", goOn, mixed, second.logs)
 	}
 }
+
+// Nobody takes up what the service answers.
+func TestServiceWithoutStreamsCostsNoReadsOfVersions(t *testing.T) {
+	s := newTestbed(t, publicDesk)
+	s.startVersion("i-1", "desk", "one", 0)
+	s.startVersion("i-2", "desk", "two", 0)
+	s.waitReady()
+	time.Sleep(time.Second)
+	if s.store.Row("streams", "versions") {
+		t.Errorf("got a row of versions for a service without streams, want none; log:\n%s", s.logs)
+	}
+}
+
+func TestServiceThatGetsStreamsKeepsVersions(t *testing.T) {
+	without := platformtest.Service("models", "stream", 1, map[string]any{"public": true, "engine": map[string]any{"slots": 8, "kv_capacity": 444000}})
+	s := newTestbed(t, without)
+	var servers []*platformtest.Server
+	for _, v := range []string{"one", "one", "two", "two"} {
+		servers = append(servers, s.startVersion(fmt.Sprintf("%s-%d", v, len(servers)), "models", v, 12))
+	}
+	s.waitReady()
+	s.store.Put("op", "config", platformtest.Config(2, []string{"key-1"}, brokenOffService))
+	s.listVersions("one", "two")
+	began := s.beginStreams(20, servers)
+	second := s.startSecondRouter()
+	second.listVersions("one", "two")
+	time.Sleep(time.Second)
+	if goOn, mixed := second.takeUp(began); mixed > 0 || goOn < len(began)*3/4 {
+		t.Errorf("got %d of %d streams going on, %d of them at another version, want nearly all, none; log:\n%s", goOn, len(began), mixed, second.logs)
+	}
+}
--- a/route/table.go
+++ b/route/table.go
@@ -132,6 +132,18 @@
 	return longest
 }
 
+// KeepsVersion reports whether a service has streams that may be resumed, which keep to the software version that began them.
+func (t *Table) KeepsVersion(service string) bool {
+	for _, routes := range t.routes {
+		for _, r := range routes {
+			if r.Resumable && slices.ContainsFunc(r.Targets, func(x Target) bool { return x.Service.Name == service }) {
+				return true
+			}
+		}
+	}
+	return false
+}
+
 // Services returns the services by name; the caller must not change the map.
 func (t *Table) Services() map[string]*Service { return t.services }
 
--- a/streamversion/keeper.go
+++ b/streamversion/keeper.go
@@ -177,8 +177,12 @@
 	return false
 }
 
-// NeedsRead reports whether the row is to be read now: it may have to change, or what it allows is not known.
+// NeedsRead reports whether the row is to be read now: it may have to change, or what it allows is not known. No stream begins
+// without a listed service, so none is read for then.
 func (k *Keeper) NeedsRead(now time.Time) bool {
+	if len(k.listed) == 0 {
+		return false
+	}
 	if !k.loaded || k.outdated || k.Logs() && now.Sub(k.loadedAt) > refreshPeriod {
 		return true
 	}
--- a/streamversion/streamversion_test.go
+++ b/streamversion/streamversion_test.go
@@ -354,3 +354,24 @@
 		t.Error("got streams allowed before the row was read after a time without contact")
 	}
 }
+
+func TestRowIsNotReadWithoutServersThatKeepVersions(t *testing.T) {
+	k := streamversion.NewKeeper(true)
+	now := time.Unix(1e9, 0)
+	k.Observe(now, now, nil)
+	if k.NeedsRead(now) {
+		t.Error("got a read at the start, want none until a server is listed")
+	}
+	row := &streamversion.Versions{Era: 1, Services: map[string]*streamversion.Admitted{service: {Versions: map[string]streamversion.State{"v1": streamversion.InUse}}}}
+	listed := map[string]map[string]bool{service: {"v1": true}}
+	k.Observe(now, now, listed)
+	k.Load(now, row, 1)
+	k.Forget()
+	if !k.NeedsRead(now) {
+		t.Error("got no read after the store came back from a copy")
+	}
+	k.Observe(now, now, nil)
+	if k.NeedsRead(now) {
+		t.Error("got a read after the store came back from a copy, want none without servers")
+	}
+}
