The row of versions is not read while the list of servers is too old

What callers saw: nothing; found by reading.

Cause: a list of servers that was not confirmed for a minute lets no stream begin, and counted as a need to read the row of versions. A read does not make the list current, so the need stayed: with a store that answers reads and whose feed of servers does not come, or at a start until the servers are read, a router read the row every 15 to 45 ms in a small fleet.

Evidence and result: TestRowIsNotReadAgainAndAgainWhileTheListIsTooOld failed ("got a read by a list of two minutes ago, which lets no stream begin") and passes; once the list is current the row is read, before any stream begins, as it was. The tests of streamversion at 6, 90 and 410 routers and those of versions in gateway pass.

--- a/streamversion/keeper.go
+++ b/streamversion/keeper.go
@@ -177,10 +177,10 @@
 	return false
 }
 
-// NeedsRead reports whether the row is to be read now: it may have to change, or what it allows is not known. No stream begins
-// without a listed service, so none is read for then.
+// NeedsRead reports whether the row is to be read now: it may have to change, or what it allows is not known. Without a listed
+// service, and by a list that is too old, no stream begins that it would be read for.
 func (k *Keeper) NeedsRead(now time.Time) bool {
-	if len(k.listed) == 0 {
+	if len(k.listed) == 0 || now.Sub(k.listedAt) > listMaxAge {
 		return false
 	}
 	if !k.loaded || k.outdated || k.Logs() && now.Sub(k.loadedAt) > refreshPeriod {
--- a/streamversion/streamversion_test.go
+++ b/streamversion/streamversion_test.go
@@ -375,3 +375,20 @@
 		t.Error("got a read after the store came back from a copy, want none without servers")
 	}
 }
+
+// The store answers, and the router's list of servers does not become current.
+func TestRowIsNotReadAgainAndAgainWhileTheListIsTooOld(t *testing.T) {
+	k := streamversion.NewKeeper(true)
+	now := time.Unix(1e9, 0)
+	listed := map[string]map[string]bool{service: {"v1": true}}
+	k.Observe(now, now, listed)
+	later := now.Add(2 * time.Minute)
+	k.Observe(later, now, listed)
+	if k.NeedsRead(later) {
+		t.Error("got a read by a list of two minutes ago, which lets no stream begin")
+	}
+	k.Observe(later, later, listed)
+	if !k.NeedsRead(later) {
+		t.Error("got no read when the list had become current")
+	}
+}
