Routers wait at random before they change the row of versions

What callers saw: nothing; it cost calls.

Cause: all routers hear of a new version at about the same time, and each read the row, found the version missing and tried to write it. One write succeeded, the others failed and had the row read once more.

Change: streamversion.RowTiming decides when the row is read, and when written. A router waits a random part of the period between reads before it reads the row to change it, so most find it changed. A read that tells what streams may begin is not put off: a start where the row is right costs a read and no wait, as before.

The tests of streamversion and those of versions in gateway pass.

--- a/gateway/streams.go
+++ b/gateway/streams.go
@@ -29,7 +29,6 @@
 // Timing of the store's table of streams.
 const (
 	streamsPeriod      = 50 * time.Millisecond // between two looks for what is to be read or written
-	versionsReadPeriod = 30 * time.Millisecond // between two reads of the row of versions, half of it at least
 	streamsCallTimeout = 700 * time.Millisecond
 	streamRowMemory    = 10 * time.Minute // after which the row of another router's start is deleted
 	ownRowMemory       = 2 * time.Minute  // after which those of this router's earlier starts are
@@ -79,7 +78,7 @@
 	config     *route.Table               // by which list was made
 	list       map[string]map[string]bool // of servers, the services whose streams keep to a version
 	admitted   map[string]map[string]bool
-	readAt     time.Time // earliest time of the next read of the row of versions
+	timing     streamversion.RowTiming
 	writtenAt  time.Time // of this router's row
 	cleanAt    time.Time
 }
@@ -180,7 +179,8 @@
 
 // tick looks for what is to be read or written.
 func (s *streams) tick(now time.Time) {
-	if s.observe(now) && !now.Before(s.readAt) {
+	s.observe(now)
+	if s.readDue(now) {
 		s.keepVersions(now)
 		now = time.Now()
 		s.observe(now)
@@ -218,9 +218,8 @@
 	return 0
 }
 
-// observe passes the list of servers to the keeper, and the versions that it admits to the placement. It reports whether the
-// row of versions is to be read.
-func (s *streams) observe(now time.Time) (read bool) {
+// observe passes the list of servers to the keeper, and the versions that it admits to the placement.
+func (s *streams) observe(now time.Time) {
 	s.updateList()
 	listAge := s.Clock() - s.ListCurrentAt()
 	s.mu.Lock()
@@ -234,7 +233,6 @@
 	for service := range s.list {
 		admits[service] = s.keeper.Admits(now, service)
 	}
-	read = s.keeper.NeedsRead(now)
 	s.mu.Unlock()
 	for service, versions := range admits {
 		if !equalSets(versions, s.admitted[service]) {
@@ -243,17 +241,22 @@
 			s.Logger.Info().Str("service", service).Strs("versions", names(versions)).Msg("stream-versions-admitted")
 		}
 	}
-	return read
+}
+
+// readDue reports whether the row of versions is to be read now.
+func (s *streams) readDue(now time.Time) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.timing.ReadDue(now, s.keeper, s.Routers())
 }
 
 // keepVersions reads the row of versions, and writes it if it has to change. Only one of several routers that do so at once
 // succeeds; the others read the row again.
 func (s *streams) keepVersions(now time.Time) {
-	s.readAt = now.Add(versionsReadPeriod/2 + rand.N(streamversion.ReadPeriod(s.Routers(), false)))
 	batch, err := s.Store.RowsBetween(platform.StreamTable, versionsKey, versionsKey+"\x00", streamsCallTimeout)
 	if err != nil {
 		s.Logger.Warn().Err(err).Msg("stream-versions-not-read")
-		s.readAt = time.Now().Add(streamsCallTimeout / 2)
+		s.timing.ReadFailed(time.Now(), streamsCallTimeout/2)
 		return
 	}
 	var row *streamversion.Versions
@@ -268,7 +271,7 @@
 	s.keeper.Load(now, row, batch.Era)
 	next, changes := s.keeper.Next(now)
 	s.mu.Unlock()
-	if !changes {
+	if !changes || !s.timing.MayWrite(now) {
 		return
 	}
 	value, err := next.Encode()
--- a/streamversion/fleet_test.go
+++ b/streamversion/fleet_test.go
@@ -43,7 +43,7 @@
 	log       *streamversion.Log
 	list      map[string]bool // versions that it sees listed
 	listAt    time.Time       // when that was current
-	readAt    time.Time
+	timing    streamversion.RowTiming
 	writtenAt time.Time
 }
 
@@ -145,8 +145,7 @@
 	}
 	r.keeper.Observe(f.now, r.listAt, map[string]map[string]bool{service: r.list})
 	r.log.Expire(f.now)
-	if r.keeper.NeedsRead(f.now) && !f.now.Before(r.readAt) && !f.table.silent {
-		r.readAt = f.now.Add(rand.N(streamversion.ReadPeriod(len(f.routers), false)))
+	if !f.table.silent && r.timing.ReadDue(f.now, r.keeper, len(f.routers)) {
 		f.keep(r)
 	}
 }
@@ -184,7 +183,7 @@
 	}
 	r.keeper.Load(f.now, v, f.table.era)
 	next, changes := r.keeper.Next(f.now)
-	if !changes {
+	if !changes || !r.timing.MayWrite(f.now) {
 		return
 	}
 	value, err := next.Encode()
--- a/streamversion/keeper.go
+++ b/streamversion/keeper.go
@@ -177,10 +177,17 @@
 	return false
 }
 
-// NeedsRead reports whether the row is to be read now: it may have to change, or what it allows is not known. Without a listed
-// service, and by a list that is too old, no stream begins that it would be read for.
-func (k *Keeper) NeedsRead(now time.Time) bool {
-	if len(k.listed) == 0 || now.Sub(k.listedAt) > listMaxAge {
+// NeedsRead reports whether the row is to be read now: it may have to change, or what it allows is not known.
+func (k *Keeper) NeedsRead(now time.Time) bool { return k.isUnsure(now) || k.changes(now) }
+
+// beginsNone reports whether no stream can begin that the row would be read for: no service is listed, or the list is too old.
+func (k *Keeper) beginsNone(now time.Time) bool {
+	return len(k.listed) == 0 || now.Sub(k.listedAt) > listMaxAge
+}
+
+// isUnsure reports whether what the row says may have changed since it was read.
+func (k *Keeper) isUnsure(now time.Time) bool {
+	if k.beginsNone(now) {
 		return false
 	}
 	if !k.loaded || k.outdated || k.Logs() && now.Sub(k.loadedAt) > refreshPeriod {
@@ -188,11 +195,19 @@
 	}
 	for service, versions := range k.listed {
 		for version := range versions {
-			if a := k.admitted(service); a == nil || a.Versions[version] != InUse || k.presence(service, version).missedInRow {
+			if k.presence(service, version).missedInRow {
 				return true
 			}
 		}
 	}
+	return false
+}
+
+// changes reports whether the row, as it was read last, has to change.
+func (k *Keeper) changes(now time.Time) bool {
+	if !k.loaded || k.beginsNone(now) {
+		return false
+	}
 	_, changes := k.Next(now)
 	return changes
 }
--- a/streamversion/streamversion_test.go
+++ b/streamversion/streamversion_test.go
@@ -392,3 +392,50 @@
 		t.Error("got no read when the list had become current")
 	}
 }
+
+// A read and a write take 25 ms together, and one of several writes at once succeeds.
+func TestNewVersionLeadsToFewWritesThatFail(t *testing.T) {
+	const step, write = 5 * time.Millisecond, 25 * time.Millisecond
+	inAllSizes(t, func(t *testing.T, f *fleet) {
+		listed := map[string]map[string]bool{service: {"v1": true, "v2": true}}
+		row := &streamversion.Versions{Era: 1, Services: map[string]*streamversion.Admitted{service: {Versions: map[string]streamversion.State{"v1": streamversion.InUse}}}}
+		for _, r := range f.routers {
+			r.timing = streamversion.RowTiming{} // the start of the fleet is over
+			r.keeper.Observe(f.now, f.now, listed)
+			r.keeper.Load(f.now, row, 1)
+		}
+		var next *streamversion.Versions
+		var nextAt time.Time
+		reads, writes := 0, 0
+		for end := f.now.Add(5 * time.Second); f.now.Before(end); f.now = f.now.Add(step) {
+			if next != nil && !f.now.Before(nextAt) {
+				row = next
+			}
+			for _, r := range f.routers {
+				r.keeper.Observe(f.now, f.now, listed)
+				if !r.timing.ReadDue(f.now, r.keeper, len(f.routers)) {
+					continue
+				}
+				reads++
+				r.keeper.Load(f.now, row, 1)
+				n, changes := r.keeper.Next(f.now)
+				if !changes || !r.timing.MayWrite(f.now) {
+					continue
+				}
+				writes++
+				if next == nil {
+					next, nextAt = n, f.now.Add(write)
+				}
+			}
+		}
+		for i, r := range f.routers {
+			if !r.keeper.Admits(f.now, service)["v2"] {
+				t.Errorf("router %d of %d: got no stream allowed at the new version after 5 s", i, len(f.routers))
+			}
+		}
+		t.Logf("%d routers: %d reads, %d writes", len(f.routers), reads, writes)
+		if writes > 20 || reads > len(f.routers)+20 {
+			t.Errorf("%d routers: got %d reads and %d writes, want one read each and 20 more, and 20 writes at most", len(f.routers), reads, writes)
+		}
+	})
+}
