A request that ends servers is the same while its caller's key cannot be proven

Evidence and result: TestRequestThatCrashesServersIsHeldWhileItsCallersKeyCannotBeProven failed before ("got 2 and then 4 servers ended") and passes. Looked for elsewhere: the customer's share and priority depend on the key by design; nothing else that outlives a request is named by the customer.

--- a/gateway/quarantine_test.go
+++ b/gateway/quarantine_test.go
@@ -137,3 +137,28 @@
 		t.Errorf("got %d crashes by a request that is answered 500 in between, want 2; log:\n%s", got, s.logs)
 	}
 }
+
+// On a public route a key that cannot be proven any more is ignored. The request is the same.
+func TestRequestThatCrashesServersIsHeldWhileItsCallersKeyCannotBeProven(t *testing.T) {
+	s := newTestbed(t, platformtest.Service("plain", "read_only", 1, map[string]any{"public": true}))
+	var crashes atomic.Int64
+	for i := range 6 {
+		b := s.startServer(fmt.Sprint("i-", i), "plain", 0)
+		b.CrashOn(func(r *http.Request) bool { return r.RequestURI == "/plain/x?page=7" }, func() { crashes.Add(1) })
+	}
+	s.waitReady()
+	repeat := func(times int) {
+		for range times {
+			s.send("GET", "/plain/x?page=7", "")
+			time.Sleep(110 * time.Millisecond)
+		}
+	}
+	repeat(4)
+	before := crashes.Load()
+	s.store.SetFault(platformtest.Unresponsive)
+	time.Sleep(3 * time.Second) // until keys are accepted no more
+	repeat(4)
+	if got := crashes.Load(); before != 2 || got != before {
+		t.Errorf("got %d and then %d servers ended by repetitions of a request, want 2 and no more; log:\n%s", before, got, s.logs)
+	}
+}
--- a/ingress/flow.go
+++ b/ingress/flow.go
@@ -272,7 +272,7 @@
 	h := xxhash.New()
 	h.WriteString(x.http.Method)
 	h.WriteString(x.http.RequestURI)
-	h.WriteString("\n" + x.placementRequest.Customer + "\n")
+	h.WriteString("\n" + x.caller() + "\n")
 	h.Write(x.body)
 	return h.Sum64()
 }
