A router that is late itself does not take its servers for unreachable

All his requests come at one router, front-pk-central-c-14, with retries: 1,300 to 1,800 a second that it sheds, on 0.19 of a core.

The request lines told: 503 "full" with up to 57 servers unusable there, 20 elsewhere. A scratch copy that logs why (not the log of this code) told the rest: all 246 of its dials that failed were time-outs, 400 ms by the settings, that took up to 1,224 ms; of its servers up to 29 were in a backoff and up to 60 cold.

Cause: a router with too little processor time notices its dial's time-out late, and took that for a failure of the server. Each such dial puts a server in a backoff, counts it cold (it may have started anew), puts its version in doubt for 3 s, and after two tells other routers, who count it cold, too.

Change: a time-out that came more than 20 ms late says nothing about the server; the request goes elsewhere as before. The third in a row without an answer counts. The metric dials_late shows such a router.

Result: TestRouterThatIsLateItselfKeepsItsServers failed with such dials taken as before ("left" after two) and passes.

--- a/ingress/attempt.go
+++ b/ingress/attempt.go
@@ -93,6 +93,10 @@
 	case ctx.Err() != nil:
 		x.endGrant(g, x.contextResult(ctx))
 		return false, x.contextEnded(ctx)
+	case unsent && dial.IsLate():
+		x.endGrant(g, placement.DialedLate)
+		x.flow.metrics.lateDials.Inc(1)
+		return true, &result{status: 503, cause: causeUnreachable, retryAfter: defaultRetryAfter}
 	case unsent:
 		x.endGrant(g, placement.Unreachable)
 		return true, &result{status: 503, cause: causeUnreachable, retryAfter: defaultRetryAfter}
--- a/ingress/log.go
+++ b/ingress/log.go
@@ -16,16 +16,17 @@
 // flowMetrics are the metrics of a Flow: calls by status and cause, attempts,
 // requests shed, the time to read each request, and the time from then to the end of the call.
 type flowMetrics struct {
-	scope    tally.Scope
-	attempts tally.Counter // sends to a backend server
-	shed     tally.Counter // requests rejected or dropped before they were served
-	readTime tally.Histogram
-	duration tally.Histogram
+	scope     tally.Scope
+	attempts  tally.Counter // sends to a backend server
+	lateDials tally.Counter // connections that were not made in time while this router was late itself
+	shed      tally.Counter // requests rejected or dropped before they were served
+	readTime  tally.Histogram
+	duration  tally.Histogram
 }
 
 func newFlowMetrics(s tally.Scope) flowMetrics {
 	buckets := tally.MustMakeExponentialDurationBuckets(time.Millisecond, 2, 15)
-	return flowMetrics{scope: s, attempts: s.Counter("attempts"), shed: s.Counter("requests_shed"), readTime: s.Histogram("read_seconds", buckets), duration: s.Histogram("answer_seconds", buckets)}
+	return flowMetrics{scope: s, attempts: s.Counter("attempts"), lateDials: s.Counter("dials_late"), shed: s.Counter("requests_shed"), readTime: s.Histogram("read_seconds", buckets), duration: s.Histogram("answer_seconds", buckets)}
 }
 
 // requestRejected counts a request whose head or body was rejected.
--- a/placement/grant.go
+++ b/placement/grant.go
@@ -14,6 +14,7 @@
 	ServerError                      // the server responded with an error, or without the required seal
 	Broken                           // connection broke, or the response is invalid or incomplete
 	Unreachable                      // no connection; the request did not run
+	DialedLate                       // no connection, and this router was late itself; the request did not run
 	Declined                         // the server responded that it did not run the request
 	Abandoned                        // the caller disconnected
 	TimedOut                         // the deadline passed before the response was complete
@@ -156,6 +157,9 @@
 	case Unreachable:
 		g.refund(now)
 		s.recordUnreachable(now)
+	case DialedLate:
+		g.refund(now)
+		s.recordDialedLate(now)
 	case Declined:
 		g.refund(now)
 		s.busyUntil = later(s.busyUntil, now.Add(declineBackoff))
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -199,12 +199,12 @@
 		s.segments.clear()
 		s.cacheFilledAt = time.Time{}
 		s.busyUntil = now
-		s.failures, s.downUntil, s.maybeRestarted = 0, time.Time{}, false
+		s.failures, s.lateDials, s.downUntil, s.maybeRestarted = 0, 0, time.Time{}, false
 		s.limit.Forget()
 		s.markCold(now, s.pool.service.ColdTime)
 	}
 	if s.failures > 0 && entry.ColdFor > 0 {
-		s.failures, s.downUntil, s.maybeRestarted = 0, time.Time{}, false
+		s.failures, s.lateDials, s.downUntil, s.maybeRestarted = 0, 0, time.Time{}, false
 	}
 	if entry.Version != s.Version {
 		p.versionsChanged++
--- a/placement/placement_test.go
+++ b/placement/placement_test.go
@@ -290,6 +290,43 @@
 	}
 }
 
+// A flooded router took its own lateness for failures of its servers, until it had none.
+func TestRouterThatIsLateItselfKeepsItsServers(t *testing.T) {
+	p := newPlacement(modelServices(false), 100, 1)
+	dialLate := func() {
+		t.Helper()
+		g, r := admitWithoutWaiting(p, newRequest("a", 10))
+		if g == nil {
+			t.Fatalf("got refusal %v after connections that this router made late, want the server", r)
+		}
+		g.End(time.Now(), placement.DialedLate)
+	}
+	dialLate()
+	dialLate()
+	summary := &placement.Summary{}
+	p.FillSummary(time.Now(), summary)
+	if len(summary.Loads) > 0 && summary.Loads[0].Unreachable {
+		t.Error("got the server told to other routers as unreachable")
+	}
+	var grants []*placement.Grant
+	for range 5 {
+		g, r := admitWithoutWaiting(p, newRequest("a", 10))
+		if g == nil {
+			t.Fatalf("got refusal %v, want five requests at once at a server that is not cold", r)
+		}
+		grants = append(grants, g)
+	}
+	for _, g := range grants {
+		g.End(time.Now(), placement.Done)
+	}
+	dialLate()
+	dialLate()
+	dialLate()
+	if g, _ := admitWithoutWaiting(p, newRequest("a", 10)); g != nil {
+		t.Error("got a server that could not be reached three times in a row")
+	}
+}
+
 // Searches for the oldest waiting requests used up a dispatch, so small ones behind them got no server though some were idle.
 func TestWaitingLongPromptsDoNotHoldUpShortOnes(t *testing.T) {
 	p := newPlacement(modelServices(true), 1, 9)
--- a/placement/server.go
+++ b/placement/server.go
@@ -49,6 +49,7 @@
 	coldUntil      time.Time
 	downUntil      time.Time // no new requests until then
 	failures       int       // consecutive failed connections
+	lateDials      int       // consecutive failed connections of times when this router was late itself
 	maybeRestarted bool      // it was unreachable and may have restarted, so it counts as cold
 	doubtedAt      time.Time // when it was last found unreachable since its entry was written, so that the entry may be of an older start
 	prefillServer  bool      // its role in a disaggregated pool
@@ -205,10 +206,23 @@
 	s.doubtedAt = now
 }
 
+// lateDialsForFailure is how many connections in a row must fail while this router is late itself until that counts as a
+// failed connection.
+const lateDialsForFailure = 3
+
+// recordDialedLate records a connection that was not made in time while this router was late itself, so that the server may
+// be sound.
+func (s *server) recordDialedLate(now time.Time) {
+	if s.lateDials++; s.lateDials >= lateDialsForFailure {
+		s.lateDials = 0
+		s.recordUnreachable(now)
+	}
+}
+
 // recordResponse records that the server responded, whatever the response was. If it may
 // have restarted before, it is cold from now on.
 func (s *server) recordResponse(now time.Time) {
-	s.failures = 0
+	s.failures, s.lateDials = 0, 0
 	if s.maybeRestarted {
 		s.maybeRestarted = false
 		s.markCold(now, s.pool.service.ColdTime)
--- a/upstream/exchange.go
+++ b/upstream/exchange.go
@@ -7,6 +7,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"strconv"
 	"strings"
@@ -44,6 +45,18 @@
 type DialError struct {
 	Address string
 	Err     error
+	Took    time.Duration // until it failed
+	Timeout time.Duration // after which a dial fails
+}
+
+// lateMargin is by how much a dial may take longer than its timeout in a process that is not late itself.
+const lateMargin = 20 * time.Millisecond
+
+// IsLate reports whether the dial ended so long after its timeout that this process was late itself: the server may have
+// accepted the connection in time.
+func (e *DialError) IsLate() bool {
+	var timeout net.Error
+	return errors.As(e.Err, &timeout) && timeout.Timeout() && e.Took > e.Timeout+lateMargin
 }
 
 // Error returns the failure and what to do about it.
@@ -115,9 +128,10 @@
 // the exchange is closed, the connection is closed, also while the response body is
 // read. The error is a *DialError, a *ResponseError or ErrAbandoned.
 func (p *Pool) Send(ctx context.Context, address string, r *Request) (*Exchange, error) {
+	began := time.Now()
 	c, err := p.get(ctx, address, r)
 	if err != nil {
-		return nil, &DialError{address, err}
+		return nil, &DialError{address, err, time.Since(began), p.options.DialTimeout}
 	}
 	if ctx.Err() != nil || r.Abandoned != nil && r.Abandoned() {
 		p.putIdle(c)
--- a/upstream/upstream_test.go
+++ b/upstream/upstream_test.go
@@ -7,7 +7,9 @@
 	"fmt"
 	"net"
 	"net/http"
+	"os"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
@@ -136,6 +138,26 @@
 }
 
 // A request was sent on an idle connection although its context had ended, or its caller had left meanwhile.
+func TestDialIsLateOnlyIfItsTimeoutCameLate(t *testing.T) {
+	const timeout = 400 * time.Millisecond
+	tests := []struct {
+		err  error
+		took time.Duration
+		want bool
+	}{
+		{os.ErrDeadlineExceeded, timeout + time.Millisecond, false},
+		{os.ErrDeadlineExceeded, timeout + 100*time.Millisecond, true},
+		{&net.OpError{Op: "dial", Err: os.ErrDeadlineExceeded}, timeout + 100*time.Millisecond, true},
+		{syscall.ECONNREFUSED, timeout + 100*time.Millisecond, false},
+	}
+	for _, x := range tests {
+		dial := &upstream.DialError{Err: x.err, Took: x.took, Timeout: timeout}
+		if got := dial.IsLate(); got != x.want {
+			t.Errorf("%v after %v: got late %v, want %v", x.err, x.took, got, x.want)
+		}
+	}
+}
+
 func TestRequestOfCallerThatLeftIsNotSent(t *testing.T) {
 	ended, cancel := context.WithCancel(context.Background())
 	cancel()
