The caller's connection is looked at last before a request is sent

Suspected, not shown: before the write the router asked whether the caller has closed, and then whether the request is held, which waits for a lock that all requests share. In a process with a long queue of goroutines that wait can be long. The order is now the other way round, so nothing waits between the look and the write.

--- a/ingress/attempt.go
+++ b/ingress/attempt.go
@@ -54,7 +54,7 @@
 // not run any more by the time a connection is ready.
 func (x *call) send(ctx context.Context, g *placement.Grant) (*upstream.Exchange, error) {
 	r := x.buildRequest(g)
-	r.Abandoned = func() bool { return x.conn.closedByCaller() || x.quarantined() }
+	r.Abandoned = func() bool { return x.quarantined() || x.conn.closedByCaller() } // the connection last: quarantined may wait for a lock
 	r.NewConnection = slices.Contains(x.sentTo, g.ID())
 	x.sentTo = append(x.sentTo, g.ID())
 	ex, err := x.flow.Upstream.Send(ctx, g.Address(), r)
