streamversion: the row is stale, not unsure

Read as a newcomer: Keeper.isUnsure had the name of a state of a service (Admitted.Unsure) that means something else. Renamed, and two comments made clearer; no line of logic changed.

--- a/gateway/streams.go
+++ b/gateway/streams.go
@@ -77,7 +77,7 @@
 	servers    map[string]map[string]bool // versions of the servers of each service
 	config     *route.Table               // by which list was made
 	list       map[string]map[string]bool // of servers, the services whose streams keep to a version
-	admitted   map[string]map[string]bool
+	admitted   map[string]map[string]bool // versions that the placement was told last, by service
 	timing     streamversion.RowTiming
 	writtenAt  time.Time // of this router's row
 	cleanAt    time.Time
--- a/streamversion/keeper.go
+++ b/streamversion/keeper.go
@@ -177,16 +177,16 @@
 	return false
 }
 
-// NeedsRead reports whether the row is to be read now: it may have to change, or what it allows is not known.
-func (k *Keeper) NeedsRead(now time.Time) bool { return k.isUnsure(now) || k.changes(now) }
+// NeedsRead reports whether the row is to be read now: it is stale, or has to change.
+func (k *Keeper) NeedsRead(now time.Time) bool { return k.isStale(now) || k.changes(now) }
 
 // beginsNone reports whether no stream can begin that the row would be read for: no service is listed, or the list is too old.
 func (k *Keeper) beginsNone(now time.Time) bool {
 	return len(k.listed) == 0 || now.Sub(k.listedAt) > listMaxAge
 }
 
-// isUnsure reports whether what the row says may have changed since it was read.
-func (k *Keeper) isUnsure(now time.Time) bool {
+// isStale reports whether the row must be read before it counts: it was not read since the store came back, or may have changed since.
+func (k *Keeper) isStale(now time.Time) bool {
 	if k.beginsNone(now) {
 		return false
 	}
--- a/streamversion/rowtiming.go
+++ b/streamversion/rowtiming.go
@@ -25,7 +25,7 @@
 		t.changeAt = now.Add(rand.N(period))
 		t.readAt = t.changeAt
 	}
-	if now.Before(t.readAt) || !changes && !k.isUnsure(now) {
+	if now.Before(t.readAt) || !changes && !k.isStale(now) {
 		return false
 	}
 	t.readAt = now.Add(minReadPeriod/2 + rand.N(period))
