gossip: a router of a large fleet summarizes each 0.3 s from its start on, not each 1.2 s for 37 s

Cause: a router that starts sent its summary to all others, at once, and its period grows by 6 ms with each of them: 1.17 s with 194. The start lasted 32 such periods, 37 s; at 6 routers it is 2 s. A router that started alone never hears those of other zones, so ever after each 16th period was as long. Evidence: TestRouterOfALargeFleetSummarizesOftenFromItsStartOn failed: 9 summaries in 10 s at a router of the zone, 1.17 s between two, whether one router had started or all. Change: routers that it has not heard, or of other zones, get one summary in 8 periods, spread over them, and one in 16 once the start is over; the zone's own get one in each period as before. Those of other zones that fall silent meanwhile are not logged as unreachable, since their zone's summary stands for them. A router without anybody to send to announces itself as a candidate all the same: it did not, and then sent no summary for its zone (TestUnreachableZoneIsTriedAtAllItsRouters showed that with the shorter periods). Result: 20 or more in 10 s and at most 0.8 s between two; all routers of other zones get two or more in 8 s (TestStartedRouterMakesItselfKnownInAllZones).

--- a/gossip/gossip.go
+++ b/gossip/gossip.go
@@ -27,6 +27,7 @@
 	peerTimeout      = 2 * time.Second      // time without a summary after which a router counts as unreachable
 	inactiveAfter    = 15 * time.Second     // time without a summary after which a router is sent one only every retryPeriods
 	retryPeriods     = 16                   // periods between two summaries to a router that is inactive
+	startingPeriods  = 8                    // periods between two summaries of a router that starts in a large fleet to one that it has not heard, or of another zone
 	maxDatagramBytes = 60 << 10
 )
 
@@ -78,6 +79,7 @@
 	unreachable bool
 	leaving     bool
 	candidate   bool // it may send the summary of its zone; see Summary.ZoneCandidate
+	covered     bool // its zone's summary stands for it, whether it is heard or not
 }
 
 // Gossip exchanges summaries with all known routers, or in a large fleet with those of the same
@@ -163,13 +165,13 @@
 func (g *Gossip) sendSummary(now time.Time) time.Duration {
 	to := g.beginPeriod(now)
 	due := period(len(to))
-	if len(to) == 0 {
-		return due
-	}
 	m := g.handler.Summary()
 	g.leaving = m.Leaving
 	m.ZoneCandidate = g.candidate(now)
 	g.announced = m.ZoneCandidate
+	if len(to) == 0 {
+		return due
+	}
 	data, err := cbor.Marshal(m)
 	if err != nil || len(data) > maxDatagramBytes {
 		g.logger.Warn().Err(err).Int("bytes", len(data)).Msg("summary-not-sent")
@@ -238,7 +240,7 @@
 	zoneLive   []string         // those of live that are in this zone
 	candidates []string         // those of zoneLive that may send the summary of the zone
 	known      []string         // names of all other routers
-	forwarders []string         // addresses of this zone's reachable routers: this one, then the others by name; the first zoneForwarders forward zone summaries
+	forwarders []string         // addresses of this router and of those of zoneLive by name; the first zoneForwarders forward zone summaries
 	timedOut   []string         // senders of summaries that have become unreachable
 	aggregated []string         // routers that are represented by their zone's summary from now on
 	sendsZone  bool             // this router sends the summary of its zone
@@ -252,8 +254,8 @@
 	m := &membership{forwarders: []string{g.Address()}}
 	expired, remote := g.timedOutZones(now)
 	m.timedOut = expired
-	for _, r := range g.sorted() {
-		g.addMember(m, r, now.Sub(r.lastSeen))
+	for i, r := range g.sorted() {
+		g.addMember(m, i, r, now.Sub(r.lastSeen))
 	}
 	m.fleet = Fleet{Alive: 1 + len(m.live), Known: len(g.routers) + 1, Rank: rank(m.live, g.self), ZoneRank: rank(m.zoneLive, g.self), Period: period(len(m.targets))}
 	if g.large() {
@@ -263,14 +265,14 @@
 	return m
 }
 
-// addMember adds a router to a membership. age is the time since its last summary. A router of
+// addMember adds a router to a membership. index is its place among all, and age the time since its last summary. A router of
 // another zone in a large fleet gets no summary of its own; g.mu is held.
-func (g *Gossip) addMember(m *membership, r *router, age time.Duration) {
+func (g *Gossip) addMember(m *membership, index int, r *router, age time.Duration) {
 	if r.name != "" {
 		m.known = append(m.known, r.name)
 	}
 	sameZone := r.zone == g.zone
-	viaZone := g.large() && !g.starting() && r.zone != "" && !sameZone
+	ofOtherZone := g.large() && r.zone != "" && !sameZone
 	switch {
 	case age < peerTimeout && !r.leaving:
 		m.live = append(m.live, r.name)
@@ -283,17 +285,38 @@
 		}
 	case age >= peerTimeout && !r.unreachable && !r.lastSeen.IsZero():
 		r.unreachable = true
-		if viaZone {
-			m.aggregated = append(m.aggregated, r.name)
-		} else {
+		switch {
+		case !ofOtherZone:
 			m.timedOut = append(m.timedOut, r.name)
+		case !r.covered:
+			r.covered = true
+			m.aggregated = append(m.aggregated, r.name)
 		}
 	}
-	if !viaZone && (age < inactiveAfter || g.periods%retryPeriods == 0 || g.starting()) {
+	if n := g.periodsBetween(r, age, ofOtherZone); n > 0 && (index+g.periods)%n == 0 {
 		m.targets = append(m.targets, r.address)
 	}
 }
 
+// periodsBetween returns in how many periods a router gets a summary once, 0 meaning never. Those that get few are spread over the
+// periods, since the period grows with the number of summaries in it.
+func (g *Gossip) periodsBetween(r *router, age time.Duration, ofOtherZone bool) int {
+	active := age < inactiveAfter
+	switch {
+	case ofOtherZone && !g.starting():
+		return 0
+	case !g.large():
+		if active || g.starting() {
+			return 1
+		}
+	case active && r.zone == g.zone:
+		return 1
+	case g.starting():
+		return startingPeriods
+	}
+	return retryPeriods
+}
+
 // sorted returns the other routers, sorted by name; g.mu is held.
 func (g *Gossip) sorted() []*router {
 	list := make([]*router, 0, len(g.routers))
@@ -384,7 +407,7 @@
 		r = &router{address: a}
 		g.routers[a] = r
 	}
-	becameReachable := r.unreachable || r.name != m.Router
+	becameReachable := r.unreachable && !r.covered || r.name != m.Router
 	r.name, r.zone, r.lastSeen, r.unreachable, r.leaving, r.candidate = m.Router, m.Zone, time.Now(), false, m.Leaving, m.ZoneCandidate
 	g.mu.Unlock()
 	if becameReachable {
