A router that is heard but cannot hear is not believed to be in touch

Cause: nobody tells whom it hears. A router that nothing reaches, first by name in its zone, was told the streams of its group, and sent the zone's summary, which then covered it alone. And a zone that hears nothing from another one cannot reach its servers either: no answer comes back. It told so, its summaries did arrive, and the routers beside these sound servers took them for restarted, over and over, that is for cold. Change: summaries name the zones of which their sender hears another router (package placement, hearing.go). They stand in a field that earlier versions send as null and ignore, so a fleet of both goes on. A router that hears none of its zone gets no duty; a server is not taken for restarted by the word of a sender that does not hear its zone, unless this router does not hear it either: then the zone may have lost power (TestServerOfAZoneThatNobodyHearsCountsAsRestarted).

--- a/gossip/gossip.go
+++ b/gossip/gossip.go
@@ -24,10 +24,12 @@
 const (
 	minPeriod        = 60 * time.Millisecond
 	periodPerRouter  = 6 * time.Millisecond // added to the period, so that the rate at which a router receives does not grow with the fleet
-	peerTimeout      = 2 * time.Second      // time without a summary after which a router counts as unreachable
-	inactiveAfter    = 15 * time.Second     // time without a summary after which a router is sent one only every retryPeriods
-	retryPeriods     = 16                   // periods between two summaries to a router that is inactive
-	startingPeriods  = 8                    // periods between two summaries of a router that starts in a large fleet to one that it has not heard, or of another zone
+	minHearingTime   = 600 * time.Millisecond
+	hearingPeriods   = 3                // time without a summary, in periods and at least minHearingTime, after which a zone is told to be silent
+	peerTimeout      = 2 * time.Second  // time without a summary after which a router counts as unreachable
+	inactiveAfter    = 15 * time.Second // time without a summary after which a router is sent one only every retryPeriods
+	retryPeriods     = 16               // periods between two summaries to a router that is inactive
+	startingPeriods  = 8                // periods between two summaries of a router that starts in a large fleet to one that it has not heard, or of another zone
 	maxDatagramBytes = 60 << 10
 )
 
@@ -80,6 +82,7 @@
 	leaving     bool
 	candidate   bool // it may send the summary of its zone; see Summary.ZoneCandidate
 	covered     bool // its zone's summary stands for it, whether it is heard or not
+	deaf        bool // it hears no other router of its zone, so nothing reaches it
 }
 
 // Gossip exchanges summaries with all known routers, or in a large fleet with those of the same
@@ -100,9 +103,10 @@
 
 	// Used by Run alone.
 	startedAt time.Time
-	leaving   bool // the last summary announced that this router leaves
-	announced bool // the last summary announced that this router is a candidate for its zone's summary
-	sendsZone bool // this router sent the summary of its zone in the last period
+	leaving   bool          // the last summary announced that this router leaves
+	announced bool          // the last summary announced that this router is a candidate for its zone's summary
+	period    time.Duration // between the last summary and the next
+	sendsZone bool          // this router sent the summary of its zone in the last period
 }
 
 // New returns a Gossip that listens at a UDP address. It fails if the address is invalid or in use.
@@ -165,9 +169,10 @@
 func (g *Gossip) sendSummary(now time.Time) time.Duration {
 	to := g.beginPeriod(now)
 	due := period(len(to))
+	g.period = due
 	m := g.handler.Summary()
 	g.leaving = m.Leaving
-	m.ZoneCandidate = g.candidate(now)
+	m.ZoneCandidate, m.Hears = g.candidate(now), g.hears(now)
 	g.announced = m.ZoneCandidate
 	if len(to) == 0 {
 		return due
@@ -237,7 +242,7 @@
 	fleet      Fleet
 	targets    []netip.AddrPort // addresses that get a summary
 	live       []string         // names of the other reachable routers
-	zoneLive   []string         // those of live that are in this zone
+	zoneLive   []string         // those of live that are in this zone and not deaf
 	candidates []string         // those of zoneLive that may send the summary of the zone
 	known      []string         // names of all other routers
 	forwarders []string         // addresses of this router and of those of zoneLive by name; the first zoneForwarders forward zone summaries
@@ -276,7 +281,7 @@
 	switch {
 	case age < peerTimeout && !r.leaving:
 		m.live = append(m.live, r.name)
-		if sameZone {
+		if sameZone && !r.deaf {
 			m.zoneLive = append(m.zoneLive, r.name)
 			if r.candidate {
 				m.candidates = append(m.candidates, r.name)
@@ -409,6 +414,7 @@
 	}
 	becameReachable := r.unreachable && !r.covered || r.name != m.Router
 	r.name, r.zone, r.lastSeen, r.unreachable, r.leaving, r.candidate = m.Router, m.Zone, time.Now(), false, m.Leaving, m.ZoneCandidate
+	r.deaf = !m.HearsZone(m.Zone)
 	g.mu.Unlock()
 	if becameReachable {
 		g.logger.Info().Str("router", m.Router).Str("address", from).Msg("router-reachable")
--- a/gossip/gossip_test.go
+++ b/gossip/gossip_test.go
@@ -31,8 +31,9 @@
 	zoneHeardAt map[string]time.Time     // when the last zone summary came, by zone
 	zoneSilence map[string]time.Duration // longest time between two zone summaries, by zone
 	quarantine  *quarantine.Quarantine
-	collector   string          // that the router's last stream report was for
-	told        map[string]bool // by router whose stream report came: whether this router was a collector then
+	collector   string              // that the router's last stream report was for
+	told        map[string]bool     // by router whose stream report came: whether this router was a collector then
+	hears       map[string][]string // zones that a router says it hears, by router
 }
 
 func (r *recordingHandler) Summary() *placement.Summary {
@@ -45,6 +46,10 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.received[m.Router]++
+	r.hears[m.Router] = nil
+	for _, zone := range m.Hears {
+		r.hears[m.Router] = append(r.hears[m.Router], zone.(string))
+	}
 	if m.ZoneRouters == 0 {
 		return
 	}
@@ -136,7 +141,7 @@
 
 func startInZone(t *testing.T, zone, name string) (*gossip.Gossip, *recordingHandler, context.CancelFunc) {
 	t.Helper()
-	r := &recordingHandler{name: name, zone: zone, quarantine: quarantine.New(), received: map[string]int{}, unreachable: map[string]bool{}, zoneHeardAt: map[string]time.Time{}, zoneSilence: map[string]time.Duration{}, told: map[string]bool{}}
+	r := &recordingHandler{name: name, zone: zone, quarantine: quarantine.New(), received: map[string]int{}, unreachable: map[string]bool{}, zoneHeardAt: map[string]time.Time{}, zoneSilence: map[string]time.Duration{}, told: map[string]bool{}, hears: map[string][]string{}}
 	g, err := gossip.New(name, zone, "127.0.0.1:0", r, zerolog.Nop())
 	if err != nil {
 		t.Fatal(err)
--- a/gossip/zones.go
+++ b/gossip/zones.go
@@ -53,7 +53,7 @@
 // forwarders, to the forwarders of the other zones.
 func (g *Gossip) sendZoneSummary(now time.Time, forwarders []string) {
 	m := g.handler.ZoneSummary()
-	m.ForwarderAddresses = forwarders
+	m.ForwarderAddresses, m.Hears = forwarders, g.hears(now)
 	data, err := cbor.Marshal(m)
 	if err != nil || len(data) > maxDatagramBytes {
 		g.logger.Warn().Err(err).Int("bytes", len(data)).Msg("zone-summary-not-sent")
--- a/placement/placement_test.go
+++ b/placement/placement_test.go
@@ -290,6 +290,55 @@
 	}
 }
 
+// Packets pass from zone-b to zone-a only, so routers of zone-b cannot reach servers of zone-a, and tell zone-a so. That took its
+// sound servers for restarted ones, over and over.
+func TestZoneThatCannotHearDoesNotMakeServersCold(t *testing.T) {
+	unreachable := []placement.Load{{Server: "i-0", Unreachable: true}}
+	for _, c := range []struct {
+		name  string
+		hears []any
+		cold  bool
+	}{
+		{"a zone that hears the server's zone", []any{"zone-a"}, true},
+		{"a zone that does not hear it", []any{"zone-c"}, false},
+		{"a zone that hears none", []any{}, false},
+		{"a router of an earlier version", nil, true},
+		{"a router of a version long ago", []any{[]any{uint64(1), "i-0"}}, true},
+	} {
+		p := newPlacement(modelServices(false), 100, 1)
+		for range 3 {
+			p.ApplySummary(time.Now(), &placement.Summary{Router: "zone-b", Incarnation: 1, Zone: "zone-b", ZoneRouters: 5, Hears: c.hears, Loads: unreachable})
+		}
+		sent := 0
+		for range 60 {
+			g, _ := admitWithoutWaiting(p, newRequest("a", 10))
+			if g == nil {
+				break
+			}
+			sent++
+		}
+		if got := sent <= 1; got != c.cold {
+			t.Errorf("%s reports a server as unreachable: got %d requests at once from one of 100 routers, want it cold: %v", c.name, sent, c.cold)
+		}
+	}
+}
+
+// Both zones have lost sight of the third, whose power failed, so its servers have restarted.
+func TestServerOfAZoneThatNobodyHearsCountsAsRestarted(t *testing.T) {
+	p := newPlacement(modelServices(false), 100, 0)
+	p.SetServer(time.Now(), placement.ServerEntry{ID: "i-0", Service: "models", Address: "127.0.0.1:1", Zone: "zone-c", Slots: 64, Version: "v1"})
+	p.ApplySummary(time.Now(), &placement.Summary{Router: "zone-b", Incarnation: 1, Zone: "zone-b", ZoneRouters: 5, Hears: []any{"zone-a"}, Loads: []placement.Load{{Server: "i-0", Unreachable: true}}})
+	sent := 0
+	for range 60 {
+		if g, _ := admitWithoutWaiting(p, newRequest("a", 10)); g != nil {
+			sent++
+		}
+	}
+	if sent > 1 {
+		t.Errorf("got %d requests at once from one of 100 routers to a server that may be cold, want at most 1", sent)
+	}
+}
+
 // A flooded router took its own lateness for failures of its servers, until it had none.
 func TestRouterThatIsLateItselfKeepsItsServers(t *testing.T) {
 	p := newPlacement(modelServices(false), 100, 1)
--- a/placement/summary.go
+++ b/placement/summary.go
@@ -55,7 +55,7 @@
 	OperatorRows       follow.Position // of the newest known row of the operator's table
 	Loads              []Load
 	Usage              []CustomerUsage
-	Crashes            []any // whole requests that crashed servers, from routers of earlier versions; no longer used
+	Hears              []any // names of the zones of which the sender hears another router; routers of earlier versions send nil or something else
 	Fits               []FitSums
 }
 
@@ -165,26 +165,27 @@
 		}
 	}
 	for _, l := range m.Loads {
-		p.applyLoad(now, peer, m.Router, l)
+		p.applyLoad(now, peer, m, l)
 	}
 	p.applyFits(m)
 	p.shares.applyReport(now, m)
 }
 
 // applyLoad applies the load of one backend server from another router's summary.
-func (p *Placement) applyLoad(now time.Time, peer *peerState, router string, l Load) {
+func (p *Placement) applyLoad(now time.Time, peer *peerState, m *Summary, l Load) {
 	s := p.servers[l.Server]
 	if s == nil {
 		return
 	}
-	s.setRemoteLoad(router, remoteLoad{running: l.Running, kvTokens: l.Tokens, pendingPrefill: l.PendingPrefill, unreachable: l.Unreachable})
+	unreachable := l.Unreachable && p.believesFailure(m, s.Zone)
+	s.setRemoteLoad(m.Router, remoteLoad{running: l.Running, kvTokens: l.Tokens, pendingPrefill: l.PendingPrefill, unreachable: unreachable})
 	if sent := counterIncrease(peer.sentTokens, l.Server, l.SentTokens); sent > 0 {
 		s.addPrefill(now, sent)
 		if peer.zone == p.zone {
 			s.zoneSentTokens += uint64(sent)
 		}
 	}
-	if l.Unreachable && s.failures == 0 && !s.cold(now) {
+	if unreachable && s.failures == 0 && !s.cold(now) {
 		s.maybeRestarted = true
 	}
 }
