follow: a poller tells only its own failures on, so that one failing poller does not make its zone poll

Cause: two routers of a zone poll the store for it. Each told the others when a call had last failed, its own or one that it had heard of from the other poller. With one of them turned away by the store, both looked failing, and each other router of the zone polled three tables by itself, each second. Change: a delta tells the time since the sender's own calls failed. What it heard still counts for the sender itself, where entries went missing.

--- a/follow/delta.go
+++ b/follow/delta.go
@@ -14,7 +14,7 @@
 	To         uint64 // version of the store up to which Rows holds all changes
 	NewestRow  uint64 // version of the newest row that the sender has
 	Rows       []Row
-	FailureAge time.Duration // time since a call of the store last failed at the sender, 0 if that is longer ago than failureWindow
+	FailureAge time.Duration // time since a call of the sender's to the store last failed, 0 if that is longer ago than failureWindow
 }
 
 // Timing of deltas.
@@ -60,7 +60,7 @@
 		}
 		d.Rows = append(d.Rows, b.rows...)
 	}
-	if since := f.options.Clock() - f.LastFailure(); since < failureWindow {
+	if since := f.options.Clock() - time.Duration(f.ownFailure.Load()); since < failureWindow {
 		d.FailureAge = max(since, 1)
 	}
 	return d
--- a/follow/follow.go
+++ b/follow/follow.go
@@ -96,6 +96,7 @@
 	failing     bool         // the last polling call failed
 	currentAt   atomic.Int64 // clock reading at which the table was current
 	lastFailure atomic.Int64 // clock reading at the last failed call, of this follower or of one that sent a delta
+	ownFailure  atomic.Int64 // clock reading at the last failed call of this follower
 	done        chan struct{}
 
 	mu          sync.Mutex    // held while rows are applied to the table
@@ -121,6 +122,7 @@
 	f := &Follower{options: o, done: make(chan struct{}), wake: make(chan struct{}, 1)}
 	f.currentAt.Store(int64(-time.Hour))
 	f.lastFailure.Store(int64(-time.Hour))
+	f.ownFailure.Store(int64(-time.Hour))
 	return f
 }
 
@@ -243,7 +245,9 @@
 
 // recordFailure records a failed call and logs the first of a series.
 func (f *Follower) recordFailure(err error) {
-	f.lastFailure.Store(int64(f.options.Clock()))
+	now := int64(f.options.Clock())
+	f.lastFailure.Store(now)
+	f.ownFailure.Store(now)
 	if !f.failing {
 		f.options.Logger.Warn().Err(err).Str("table", f.options.Name).Uint64("version", f.Position().Version).Msg("store-read-failed")
 	}
--- a/follow/follow_test.go
+++ b/follow/follow_test.go
@@ -170,6 +170,13 @@
 	x.Apply(rows)
 }
 
+// loaded reports whether the table was read.
+func (x *recordingTable) loaded() bool {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	return x.resets > 0
+}
+
 func (x *recordingTable) holds(key string, version uint64) bool {
 	x.mu.Lock()
 	defer x.mu.Unlock()
