follow: routers whose pollers are gone tell each other what they read of the store

Cause: when neither poller of a zone sends anything for 1.2 s (both turned away, killed or frozen), each router of the zone polled three tables by itself, each second, all in the same 0.2 s, and kept what it read to itself. Change: they begin at random moments within 25 ms for each router of the zone, 1 s at most, and one that has read the store since it gets no deltas sends the zone an update of these tables, as a poller does. The others take that for a poller's. Result: 20 calls or fewer, and each follower gets a change.

--- a/follow/delta.go
+++ b/follow/delta.go
@@ -3,7 +3,10 @@
 // This file defines Delta, which polling followers send to passive ones, so that not every
 // router has to poll the store.
 
-import "time"
+import (
+	"math/rand/v2"
+	"time"
+)
 
 // Delta holds the rows of a table that changed between two versions of the store.
 type Delta struct {
@@ -77,6 +80,7 @@
 	}
 	if d.FailureAge == 0 || d.FailureAge > deltaTimeout { // a sender whose calls fail has no new changes
 		f.lastDelta = now
+		f.drawFallback()
 	}
 	f.mu.Unlock()
 	if loaded && f.apply(Position{Era: d.Era, Version: d.From}, Batch{Rows: d.Rows, Position: Position{Era: d.Era, Version: d.To}}) && d.FailureAge == 0 {
@@ -96,8 +100,30 @@
 	switch {
 	case !f.loaded || f.pollNow || now-f.lastRead > maxPassiveTime:
 		return false
-	case now-f.lastDelta > deltaTimeout:
+	case now-f.lastDelta > deltaTimeout+f.fallback:
 		return now-f.lastRead < fallbackInterval
 	}
 	return true
 }
+
+// drawFallback draws how much later than others this follower polls when no deltas come; f.mu is held.
+func (f *Follower) drawFallback() {
+	if f.options.FallbackSpread == nil {
+		return
+	}
+	if spread := f.options.FallbackSpread(); spread > 0 {
+		f.fallback = rand.N(spread)
+	}
+}
+
+// FallsBack reports whether this passive follower gets no deltas and has lately read the store by itself, so that its Delta serves
+// the others.
+func (f *Follower) FallsBack() bool {
+	if f.options.Passive == nil || !f.options.Passive() {
+		return false
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	now := f.options.Clock()
+	return f.loaded && now-f.lastDelta > deltaTimeout && f.lastAnswer > 0 && now-f.lastAnswer < deltaTimeout
+}
--- a/follow/fallback_test.go
+++ b/follow/fallback_test.go
@@ -3,6 +3,8 @@
 import (
 	"testing"
 	"time"
+
+	"bulrushtally/follow"
 )
 
 // exchange calls tell again and again for some time.
@@ -38,3 +40,42 @@
 		t.Error("the passive follower did not get a change from the sound poller within 3 s")
 	}
 }
+
+// Nobody polls the store for twenty followers. Each polled it by itself each second; now one tells the others what it read.
+func TestFollowersThatGetNoDeltasTellEachOtherWhatTheyRead(t *testing.T) {
+	s := &fakeStore{rows: map[string]uint64{}}
+	const followers = 20
+	var all []*follow.Follower
+	var tables []*recordingTable
+	var sources []*countingSource
+	for range followers {
+		f, x, c := startPassive(t, s)
+		all, tables, sources = append(all, f), append(tables, x), append(sources, c)
+	}
+	tell := func() {
+		for i, f := range all {
+			if !f.FallsBack() {
+				continue
+			}
+			d := f.Delta()
+			for j, other := range all {
+				if j != i {
+					other.ApplyDelta(d)
+				}
+			}
+		}
+	}
+	exchange(2*time.Second, tell)
+	v := s.put("a")
+	exchange(3*time.Second, tell)
+	calls := 0
+	for i, c := range sources {
+		calls += c.count()
+		if !tables[i].holds("a", v) {
+			t.Errorf("follower %d did not get a change within 3 s", i)
+		}
+	}
+	if most := followers; calls > most {
+		t.Errorf("got %d calls of the store in 5 s from %d followers, want at most %d", calls, followers, most)
+	}
+}
--- a/follow/follow.go
+++ b/follow/follow.go
@@ -80,10 +80,13 @@
 	ReadDelay func() time.Duration // delay before the table is read anew in a new era, at another moment by each router; nil means none
 	PollDelay func() time.Duration // delay between an answer with changes and the next call, so that one call returns more changes
 	Passive   func() bool          // whether other routers poll the store and send Deltas to this one; nil means that it polls itself
-	OnChange  func()               // if not nil, called after a polling call returned changes
-	OnRestore func()               // if not nil, called after the table was read in a new era
-	Clock     func() time.Duration // reading of this router's monotonic clock
-	Logger    zerolog.Logger
+	OnChange  func()               // if not nil, called after a polling call returned changes, or was made since no Deltas come
+	// FallbackSpread returns the time over which passive followers spread their calls when no Deltas come, so that the first one can
+	// tell the others what it read; nil means none.
+	FallbackSpread func() time.Duration
+	OnRestore      func()               // if not nil, called after the table was read in a new era
+	Clock          func() time.Duration // reading of this router's monotonic clock
+	Logger         zerolog.Logger
 }
 
 // Follower keeps one table up to date. CatchUpTo may be called from many goroutines.
@@ -106,7 +109,9 @@
 	readAfter   time.Duration // clock reading before which the table is not read anew
 	recent      []recentBatch // rows of the last answers, sent in deltas
 	lastDelta   time.Duration // clock reading at the last delta from a follower that reaches the store
+	fallback    time.Duration // beyond deltaTimeout, until this follower polls when no delta comes
 	lastRead    time.Duration // clock reading at the start of the last polling call
+	lastAnswer  time.Duration // clock reading at the start of the last polling call that succeeded
 	pollNow     bool          // poll once although passive, because another follower is ahead
 	wake        chan struct{} // ends the sleep of a passive follower
 	peerNewest  Position      // of the newest row that another follower has
--- a/follow/follow_test.go
+++ b/follow/follow_test.go
@@ -364,7 +364,7 @@
 	c, x := &countingSource{fakeStore: s}, &recordingTable{values: map[string]uint64{}}
 	f := follow.New(follow.Options{
 		Name: "t", Source: c, Table: x, PollWait: func() time.Duration { return 10 * time.Millisecond }, Timeout: time.Second,
-		PollDelay: func() time.Duration { return 0 }, Passive: func() bool { return true }, Clock: clock, Logger: zerolog.Nop(),
+		PollDelay: func() time.Duration { return 0 }, Passive: func() bool { return true }, FallbackSpread: func() time.Duration { return time.Second }, Clock: clock, Logger: zerolog.Nop(),
 	})
 	ctx, stop := context.WithCancel(context.Background())
 	t.Cleanup(func() {
--- a/follow/read.go
+++ b/follow/read.go
@@ -29,7 +29,10 @@
 		return false, false, err
 	}
 	f.recordSuccess()
-	if changed && o.OnChange != nil {
+	f.mu.Lock()
+	f.lastAnswer = began
+	f.mu.Unlock()
+	if o.OnChange != nil && (changed || f.FallsBack()) {
 		o.OnChange()
 	}
 	return false, changed, nil
@@ -116,6 +119,7 @@
 		f.options.Table.Restore(b.Rows)
 	}
 	f.position, f.loaded, f.recent = b.Position, true, nil
+	f.drawFallback()
 	if !sameEra {
 		f.newestRow = Position{Era: b.Era}
 	}
--- a/gateway/fleet.go
+++ b/gateway/fleet.go
@@ -89,9 +89,12 @@
 // returns nil if this router does not poll the store, or if every router does because
 // the fleet is small.
 func (g *Gateway) ZoneUpdate() *gossip.ZoneUpdate {
-	if g.passive.Load() || g.knownRouters.Load() <= gossip.ZoneSummaryThreshold {
+	if g.knownRouters.Load() <= gossip.ZoneSummaryThreshold {
 		return nil
 	}
+	if g.passive.Load() {
+		return g.fallbackUpdate()
+	}
 	confirmed := g.operatorRows.lastConfirmation()
 	operator, servers, quarantined := g.followers.operator.Delta(), g.followers.servers.Delta(), g.followers.quarantine.Delta()
 	if sinceFailure := servers.FailureAge; sinceFailure > 0 && (operator.FailureAge == 0 || sinceFailure < operator.FailureAge) {
@@ -104,6 +107,24 @@
 	}
 }
 
+// fallbackUpdate returns an update with the tables that this router has read since it gets no deltas of them, or nil if there are none.
+func (g *Gateway) fallbackUpdate() *gossip.ZoneUpdate {
+	var tables []follow.Delta
+	for _, f := range []*follow.Follower{g.followers.operator, g.followers.servers, g.followers.quarantine} {
+		if f.FallsBack() {
+			tables = append(tables, f.Delta())
+		}
+	}
+	if len(tables) == 0 {
+		return nil
+	}
+	confirmed := g.operatorRows.lastConfirmation()
+	return &gossip.ZoneUpdate{
+		Router: g.settings.VM, ConfigVersion: confirmed.version, ConfirmedAt: uint64(confirmed.storeClock.Milliseconds()), ConfirmedEra: confirmed.era,
+		Tables: tables,
+	}
+}
+
 // ApplyZoneUpdate applies the changes of the store that a polling router of the zone reports.
 func (g *Gateway) ApplyZoneUpdate(update *gossip.ZoneUpdate) {
 	for _, t := range update.Tables {
@@ -132,6 +153,7 @@
 // the zonePollers routers of lowest rank in each zone poll the store.
 func (g *Gateway) FleetChanged(f gossip.Fleet) {
 	g.knownRouters.Store(int64(f.Known))
+	g.zoneRouters.Store(int64(f.ZoneRouters))
 	passive := f.Known > gossip.ZoneSummaryThreshold && f.ZoneRank >= zonePollers
 	if g.passive.Swap(passive) != passive {
 		g.logger.Info().Bool("polls_store", !passive).Int("zone_rank", f.ZoneRank).Int("routers", f.Known).Msg("store-polling-changed")
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -43,6 +43,8 @@
 	serverLongPoll           = 4000 * time.Millisecond
 	pollDelayPerRouter       = 5 * time.Millisecond // between polls that return changes, for each router of the fleet
 	maxPollDelay             = 700 * time.Millisecond
+	fallbackSpreadPerRouter  = 25 * time.Millisecond // for each router of the zone
+	maxFallbackSpread        = time.Second
 	maxReadDelay             = 2 * time.Second
 	storeTimeout             = 700 * time.Millisecond // for an answer, in addition to the time of a long poll
 	revokeMargin             = 600 * time.Millisecond // subtracted from MaxRevokeDelay, for clock differences and requests in transit
@@ -82,6 +84,7 @@
 	incarnation  uint64        // start time in Unix nanoseconds
 	leaving      atomic.Bool   // the stop has begun
 	knownRouters atomic.Int64  // number of routers that were listed, or sent a summary, since the start, with this one
+	zoneRouters  atomic.Int64  // number of reachable routers of this zone, with this one
 	passive      atomic.Bool   // other routers of the zone poll the store for this one
 	restored     chan struct{} // holds one element if the store has come back from a copy since this router's row was written
 	done         chan struct{}
@@ -175,7 +178,7 @@
 func (g *Gateway) newFollower(table string, t follow.Table, wait func() time.Duration) *follow.Follower {
 	return follow.New(follow.Options{
 		Name: table, Source: g.store, Table: t, PollWait: wait, Timeout: storeTimeout, PollDelay: g.pollDelay, ReadDelay: g.readDelay,
-		Passive: g.passive.Load, OnChange: func() { g.gossip.SendUpdate() }, OnRestore: func() { g.storeRestored(table) }, Clock: boottime, Logger: g.logger,
+		Passive: g.passive.Load, FallbackSpread: g.fallbackSpread, OnChange: func() { g.gossip.SendUpdate() }, OnRestore: func() { g.storeRestored(table) }, Clock: boottime, Logger: g.logger,
 	})
 }
 
@@ -205,6 +208,11 @@
 	return min(maxPollDelay, time.Duration(min(gossip.ZoneSummaryThreshold, g.knownRouters.Load()))*pollDelayPerRouter)
 }
 
+// fallbackSpread returns the time over which the routers of a zone begin to poll the store when those that poll for all send nothing.
+func (g *Gateway) fallbackSpread() time.Duration {
+	return min(maxFallbackSpread, time.Duration(g.zoneRouters.Load())*fallbackSpreadPerRouter)
+}
+
 // recentFailureWindow is the time after the last failed call to the store within which a
 // missing entry of a backend server is attributed to the failure: the entry may have
 // expired because the backend server could not renew it. The window can be short, since missing
--- a/gossip/gossip.go
+++ b/gossip/gossip.go
@@ -65,11 +65,12 @@
 
 // Fleet describes the routers that this one knows of.
 type Fleet struct {
-	Alive    int           // reachable, including this router and those counted in zone summaries
-	Known    int           // listed, or sent a summary, since the start, including this router
-	Rank     int           // of this router by name, from 0, among the reachable ones, or in a large fleet among the known ones
-	ZoneRank int           // of this router by name, from 0, among the reachable ones of its availability zone
-	Period   time.Duration // between two summaries
+	Alive       int           // reachable, including this router and those counted in zone summaries
+	Known       int           // listed, or sent a summary, since the start, including this router
+	Rank        int           // of this router by name, from 0, among the reachable ones, or in a large fleet among the known ones
+	ZoneRank    int           // of this router by name, from 0, among the reachable ones of its availability zone
+	ZoneRouters int           // reachable in its availability zone, including this router
+	Period      time.Duration // between two summaries
 }
 
 // router is another router of the fleet.
@@ -262,7 +263,7 @@
 	for i, r := range g.sorted() {
 		g.addMember(m, i, r, now.Sub(r.lastSeen))
 	}
-	m.fleet = Fleet{Alive: 1 + len(m.live), Known: len(g.routers) + 1, Rank: rank(m.live, g.self), ZoneRank: rank(m.zoneLive, g.self), Period: period(len(m.targets))}
+	m.fleet = Fleet{Alive: 1 + len(m.live), Known: len(g.routers) + 1, Rank: rank(m.live, g.self), ZoneRank: rank(m.zoneLive, g.self), ZoneRouters: 1 + len(m.zoneLive), Period: period(len(m.targets))}
 	if g.large() {
 		m.fleet.Alive, m.fleet.Rank = 1+len(m.zoneLive)+remote, rank(m.known, g.self)
 		m.sendsZone = g.announced && rank(m.candidates, g.self) == 0
