ORDER: that a service has one version is not taken from an old state of the store

What callers saw: nothing yet; another operator reported streams that went on at another version at a machine that was out of step while servers of a new version joined. Cause: when a caller takes a stream up, the router reads the row that lists the versions. If it lists one, that counts for each stream of the service. Change: a transaction that changes nothing, on the condition that the row has the version that was read, has the store confirm it: transactions are of the newest state. While all services have one version that replaces the read, so a take-up costs one call as before. If the store does not confirm it, streams that no row names are refused as not run, and their callers come again. Streams that rows name are right in an old state, too.

--- a/gateway/streamrows.go
+++ b/gateway/streamrows.go
@@ -34,8 +34,28 @@
 	return s.read([2]string{"", ""})
 }
 
-// readZone reads what the store tells of streams of this zone, or of all unless there are many rows.
+// readZone reads what the store tells of streams of this zone, or of all unless there are many rows. While all services have one
+// version, it is enough that the row which says so has not changed.
 func (s *streams) readZone() (*streamversion.Snapshot, error) {
+	if s.onlyVersions != nil {
+		newest, err := s.isNewest(s.onlyVersions)
+		if err != nil || newest {
+			return s.onlyVersions, err
+		}
+		s.onlyVersions = nil
+	}
+	n, err := s.readZoneRows()
+	if err != nil {
+		return nil, err
+	}
+	if _, all := n.SaysOnly(); all {
+		s.onlyVersions = n
+	}
+	return n, nil
+}
+
+// readZoneRows reads what readZone does.
+func (s *streams) readZoneRows() (*streamversion.Snapshot, error) {
 	if !s.manyRows() {
 		return s.readAll()
 	}
@@ -49,6 +69,29 @@
 	return s.read([2]string{versionsKey, versionsKey + "\x00"})
 }
 
+// isNewest reports whether the store confirms that the row of versions of an earlier read is the newest.
+func (s *streams) isNewest(n *streamversion.Snapshot) (bool, error) {
+	unchanged, era, err := s.Store.Unchanged(platform.StreamTable, versionsKey, n.Row(), streamsCallTimeout)
+	if err != nil {
+		s.Logger.Warn().Err(err).Msg("streams-not-read")
+	}
+	return err == nil && unchanged && era == n.Era(), err
+}
+
+// confirm makes n tell no service's only version unless the store confirms the row of versions: the read may have been answered from
+// an older state.
+func (s *streams) confirm(n *streamversion.Snapshot) error {
+	if services, _ := n.SaysOnly(); services == 0 {
+		return nil
+	}
+	newest, err := s.isNewest(n)
+	if err == nil && !newest {
+		s.Logger.Info().Uint64("row_version", n.Row()).Msg("stream-versions-old")
+		n.DoubtVersions()
+	}
+	return err
+}
+
 // read reads ranges of keys.
 func (s *streams) read(ranges ...[2]string) (*streamversion.Snapshot, error) {
 	var n *streamversion.Snapshot
@@ -63,7 +106,7 @@
 		}
 		for _, r := range batch.Rows {
 			if r.Key == versionsKey {
-				err = n.AddVersions(r.Value)
+				err = n.AddVersions(r.Value, r.Version)
 			} else {
 				_, err = n.AddLog(r.Value)
 			}
@@ -72,7 +115,7 @@
 			}
 		}
 	}
-	return n, nil
+	return n, s.confirm(n)
 }
 
 // manyRowsRouters is the number of routers above which their rows are many.
--- a/gateway/streams.go
+++ b/gateway/streams.go
@@ -38,6 +38,7 @@
 // streamStore is the part of the store that streams use.
 type streamStore interface {
 	RowsBetween(table, from, to string, timeout time.Duration) (follow.Batch, error)
+	Unchanged(table, key string, version uint64, timeout time.Duration) (unchanged bool, era uint64, err error)
 	Put(table, key string, value []byte, timeout time.Duration) error
 	Swap(table, key string, value []byte, version uint64, timeout time.Duration) (swapped bool, err error)
 	Remove(table, key string, timeout time.Duration) error
@@ -67,6 +68,8 @@
 	logged   tally.Gauge
 	done     chan struct{}
 
+	onlyVersions *streamversion.Snapshot // last read by which all services had one version; used by zoneRows alone
+
 	mu        sync.Mutex
 	log       *streamversion.Log
 	keeper    *streamversion.Keeper
--- a/gateway/testbed_test.go
+++ b/gateway/testbed_test.go
@@ -47,9 +47,9 @@
 // usualGrace is the setting of the time from SIGTERM to SIGKILL.
 const usualGrace = "grace-s = 8"
 
-// startGateway runs a gateway until the returned function is called. It also returns the
+// startGateway runs a gateway that finds the store at an address until the returned function is called. It also returns the
 // gateway's log.
-func startGateway(t testing.TB, store *platformtest.Store, name, grace string) (*gateway.Gateway, *lockedBuffer, context.CancelFunc) {
+func startGateway(t testing.TB, storeAddress, name, grace string) (*gateway.Gateway, *lockedBuffer, context.CancelFunc) {
 	t.Helper()
 	text := fmt.Sprintf(`[vm]
 name = %s
@@ -67,7 +67,7 @@
 [bounds]
 revoke-ms = 2500
 %s
-`, name, freeUDPPort(t), store.Address(), grace)
+`, name, freeUDPPort(t), storeAddress, grace)
 	s, err := settings.ParseGateway([]byte(text))
 	if err != nil {
 		t.Fatal(err)
@@ -97,16 +97,22 @@
 	if len(services) > 0 {
 		s.store.Put("op", "config", platformtest.Config(1, []string{"key-1"}, services...))
 	}
-	s.gateway, s.logs, s.stop = startGateway(t, s.store, "router-1", grace)
+	s.gateway, s.logs, s.stop = startGateway(t, s.store.Address(), "router-1", grace)
 	t.Cleanup(s.stop)
 	return s
 }
 
 // startSecondRouter starts another gateway of the same store, and returns the testbed with that one.
 func (s *testbed) startSecondRouter() *testbed {
+	s.t.Helper()
+	return s.startRouterAt(s.store.Address())
+}
+
+// startRouterAt starts another gateway that finds the store at an address, and returns the testbed with that one.
+func (s *testbed) startRouterAt(storeAddress string) *testbed {
 	s.t.Helper()
 	second := *s
-	second.gateway, second.logs, second.stop = startGateway(s.t, s.store, "router-2", usualGrace)
+	second.gateway, second.logs, second.stop = startGateway(s.t, storeAddress, "router-2", usualGrace)
 	s.t.Cleanup(second.stop)
 	return &second
 }
@@ -132,6 +138,17 @@
 	return b
 }
 
+// newLink starts a link to an address that lasts until the end of the test.
+func newLink(t testing.TB, target string) *platformtest.Link {
+	t.Helper()
+	l, err := platformtest.NewLink(target)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(l.Close)
+	return l
+}
+
 // eventually reports whether a condition becomes true within d.
 func eventually(d time.Duration, is func() bool) bool {
 	for end := time.Now().Add(d); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
--- a/gateway/version_test.go
+++ b/gateway/version_test.go
@@ -88,7 +88,7 @@
 	}
 	began := map[string]string{}
 	for k := range n {
-		id := fmt.Sprintf("first-%s-%d", s.t.Name(), k)
+		id := fmt.Sprintf("first-%s-%d-%d", s.t.Name(), k, time.Now().UnixNano())
 		a := s.send("POST", "/models/"+id, "prompt", "Attempt-Id", id)
 		if versions := writers(a.body); len(versions) == 1 {
 			began[id] = versions[0]
--- a/streamversion/fleet_test.go
+++ b/streamversion/fleet_test.go
@@ -236,7 +236,7 @@
 	}
 	n := streamversion.NewSnapshot(f.table.era)
 	if f.table.versions != nil {
-		if err := n.AddVersions(f.table.versions); err != nil {
+		if err := n.AddVersions(f.table.versions, 1); err != nil {
 			f.t.Fatal(err)
 		}
 	}
--- a/streamversion/snapshot.go
+++ b/streamversion/snapshot.go
@@ -14,17 +14,19 @@
 type Snapshot struct {
 	era      uint64 // of the store
 	versions *Versions
+	row      uint64            // version of the row that versions is from
 	begun    map[Stream]string // "" for one that began at several versions, or at an unknown one
 }
 
 // NewSnapshot returns a Snapshot without rows of a store in an era.
 func NewSnapshot(era uint64) *Snapshot { return &Snapshot{era: era, begun: map[Stream]string{}} }
 
-// AddVersions adds the row that lists the versions. It returns an error if the value is malformed.
-func (n *Snapshot) AddVersions(value []byte) error {
+// AddVersions adds the row that lists the versions, with the version that the store gave the row. It returns an error if the value
+// is malformed.
+func (n *Snapshot) AddVersions(value []byte, row uint64) error {
 	v, err := DecodeVersions(value)
 	if err == nil {
-		n.versions = v
+		n.versions, n.row = v, row
 	}
 	return err
 }
@@ -62,6 +64,29 @@
 	return "", false
 }
 
+// Era returns the store's era at the read.
+func (n *Snapshot) Era() uint64 { return n.era }
+
+// Row returns the version of the row that lists the versions, 0 if there is none.
+func (n *Snapshot) Row() uint64 { return n.row }
+
+// SaysOnly reports for how many services the row lists one version, which counts for all their streams, and whether for all. That is
+// wrong if the row has changed since the state that was read.
+func (n *Snapshot) SaysOnly() (services int, all bool) {
+	if n.versions == nil {
+		return 0, false
+	}
+	for service := range n.versions.Services {
+		if _, ok := n.only(service); ok {
+			services++
+		}
+	}
+	return services, services == len(n.versions.Services)
+}
+
+// DoubtVersions makes the Snapshot tell only the streams that it names, since the row of versions may not be the newest.
+func (n *Snapshot) DoubtVersions() { n.versions, n.row = nil, 0 }
+
 // Versions is the content of the row that lists the versions of each service at which streams may have begun.
 type Versions struct {
 	Era      uint64               `json:"era"` // of the store in which the row was written: a copy may lack versions
--- a/streamversion/streamversion_test.go
+++ b/streamversion/streamversion_test.go
@@ -179,7 +179,7 @@
 		t.Fatal(err)
 	}
 	n := streamversion.NewSnapshot(1)
-	if err := n.AddVersions(value); err != nil {
+	if err := n.AddVersions(value, 1); err != nil {
 		t.Fatal(err)
 	}
 	if got, ok := n.Find(service, 7); ok {
@@ -284,7 +284,7 @@
 func TestMalformedRowsAreRefused(t *testing.T) {
 	n := streamversion.NewSnapshot(1)
 	for _, value := range []string{"", "null-", `{"services":{"models":null}}`, `[1]`} {
-		if err := n.AddVersions([]byte(value)); err == nil {
+		if err := n.AddVersions([]byte(value), 1); err == nil {
 			t.Errorf("got no error for a row of versions %q", value)
 		}
 		if _, err := n.AddLog([]byte(value)); err == nil {
