streamversion: a router does not write the row of versions over and over from an old state

What callers saw: nothing. The store got a write and a read each 35 ms from a router, all refused, as long as it answered reads from an older state; with 195 routers 200 of each a second. Cause: a refused write was taken for one that another router had been faster with, and tried again at once. Evidence: TestVersionsAreNotWrittenOverAndOverByAnOldState failed: 41 refused changes in 2 s. Result: 6 or fewer, and the row has the new version once reads are of the newest state.

--- a/gateway/outofstep_test.go
+++ b/gateway/outofstep_test.go
@@ -5,6 +5,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"testing"
 	"time"
 
@@ -123,3 +124,25 @@
 	read(false)
 	second.wantTakenUpAtLast(began, "one", "two")
 }
+
+// While reads come from an older state, the store refuses what a router writes by them. It wrote again each 35 ms.
+func TestVersionsAreNotWrittenOverAndOverByAnOldState(t *testing.T) {
+	s := newTestbed(t, brokenOffService)
+	s.startVersions(12, "one")
+	read := s.store.Past()
+	s.joinVersion("two", "one")
+	read(true)
+	s.startVersion("three-0", "models", "three", 12)
+	refused := func() int { return strings.Count(s.logs.String(), `"swapped":false`) }
+	if !eventually(3*time.Second, func() bool { return refused() > 0 }) {
+		t.Fatalf("got no change of the row refused; log:\n%s", s.logs)
+	}
+	time.Sleep(2 * time.Second)
+	if got := refused(); got > 6 {
+		t.Errorf("got %d refused changes of the row in 2 s, want a few", got)
+	}
+	read(false)
+	if !eventually(4*time.Second, func() bool { return strings.Contains(s.logs.String(), `"three":"in-use"`) }) {
+		t.Errorf("got no row with the new version once reads are those of the newest state; log:\n%s", s.logs)
+	}
+}
--- a/gateway/streamversions.go
+++ b/gateway/streamversions.go
@@ -96,6 +96,7 @@
 	if err == nil {
 		swapped, err = s.Store.Swap(platform.StreamTable, versionsKey, value, version, streamsCallTimeout)
 	}
+	s.timing.RecordWrite(time.Now(), swapped)
 	s.Logger.Info().Err(err).Bool("swapped", swapped).RawJSON("row", value).Msg("stream-versions-written")
 	if swapped {
 		s.mu.Lock()
