ingress: requests on connections that are accepted late in a stop are answered

Cause: 2.5 s into a stop all connections without a request in flight are closed, each 50 ms, also one that had just been accepted, and one whose request had arrived and was not read yet: a read whose deadline has passed does not look at what is there. And a request that crossed the close of an idle connection was read and dropped, since the close waits for pending input to protect the response before; so its caller could not know that it may send it again. Change: new connections have a second for their first request; input that has arrived is served; an idle connection, which has no response on its way, is closed at once.

--- a/gateway/stop_test.go
+++ b/gateway/stop_test.go
@@ -3,6 +3,10 @@
 // This file tests what callers get whose requests are not answered by the end of a planned stop.
 
 import (
+	"bufio"
+	"io"
+	"net"
+	"net/http"
 	"strconv"
 	"testing"
 	"time"
@@ -107,3 +111,68 @@
 		t.Errorf("got a deadline of %q ms at the server, want less than the 2 s that were left to stop", received[0].Header.Get("Deadline-Ms"))
 	}
 }
+
+// idleCloseTime is how long after the start of a stop a router closes idle connections.
+const idleCloseTime = 2500 * time.Millisecond
+
+// A connection that had just been accepted was closed with the idle ones before its request was read.
+func TestConnectionAcceptedLateInAStopIsServed(t *testing.T) {
+	s := newTestbed(t, publicDesk)
+	s.startServer("i-1", "desk", 0)
+	s.waitReady()
+	s.stop()
+	time.Sleep(idleCloseTime + 100*time.Millisecond)
+	c, err := net.Dial("tcp4", s.gateway.Address())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	time.Sleep(150 * time.Millisecond) // a caller some way off, or a router that is slow to read
+	if _, err := io.WriteString(c, "GET /desk/x HTTP/1.1\r\nHost: site.example\r\nAttempt-Id: late\r\n\r\n"); err != nil {
+		t.Fatalf("got %v while sending, want the connection open", err)
+	}
+	c.SetReadDeadline(time.Now().Add(2 * time.Second))
+	a, err := http.ReadResponse(bufio.NewReader(c), nil)
+	if err != nil {
+		t.Fatalf("got %v, want an answer", err)
+	}
+	if a.StatusCode != 200 {
+		t.Errorf("got status %d, want 200", a.StatusCode)
+	}
+}
+
+// A request that arrives just after its idle connection was closed was read and dropped, so that its caller could not know that
+// it may send it again.
+func TestRequestThatCrossesTheCloseOfAnIdleConnectionIsNotRead(t *testing.T) {
+	s := newTestbed(t, publicDesk)
+	b := s.startServer("i-1", "desk", 0)
+	s.waitReady()
+	c, err := net.Dial("tcp4", s.gateway.Address())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	reader := bufio.NewReader(c)
+	io.WriteString(c, "GET /desk/x HTTP/1.1\r\nHost: site.example\r\nAttempt-Id: first\r\n\r\n")
+	if a, err := http.ReadResponse(reader, nil); err != nil || a.StatusCode != 200 {
+		t.Fatalf("got %v and error %v for the first request, want 200", a, err)
+	} else if _, err := io.Copy(io.Discard, a.Body); err != nil {
+		t.Fatal(err)
+	}
+	s.stop()
+	c.SetReadDeadline(time.Now().Add(2 * idleCloseTime))
+	if _, err := reader.ReadByte(); err != io.EOF {
+		t.Fatalf("got %v, want the idle connection closed", err)
+	}
+	io.WriteString(c, "POST /desk/x HTTP/1.1\r\nHost: site.example\r\nAttempt-Id: crossing\r\nContent-Length: 0\r\n\r\n")
+	refused := func() bool { // a closed socket answers with a reset, an open one takes what comes
+		_, err := io.WriteString(c, "x")
+		return err != nil
+	}
+	if !eventually(20*time.Millisecond, refused) {
+		t.Error("got a request taken on a connection that is closed, want a reset")
+	}
+	if got := len(b.Received()); got != 1 {
+		t.Errorf("got %d requests at the server, want 1", got)
+	}
+}
--- a/ingress/conn.go
+++ b/ingress/conn.go
@@ -25,9 +25,10 @@
 	reader       *bufio.Reader
 	requestBegan time.Time // of the first request: when the connection was accepted; of a later one: when its first byte was read
 
+	acceptedAt    time.Time
 	awaitingFirst bool // the first request has not been read yet
 	keepAliveSet  bool // TCP keep-alive is configured
-	closedIdle    bool // the caller closed the connection between requests
+	endedIdle     bool // the connection ended between requests: no response may be on its way
 }
 
 // callerKeepAlive detects callers that vanish without closing the connection while they
@@ -161,6 +162,25 @@
 	return closed || err != nil
 }
 
+// hasInput reports whether bytes of the caller have arrived and not been read.
+func (c *conn) hasInput() bool {
+	t, ok := c.Conn.(*net.TCPConn)
+	if !ok {
+		return false
+	}
+	raw, err := t.SyscallConn()
+	if err != nil {
+		return false
+	}
+	arrived := false
+	var buf [1]byte
+	err = raw.Control(func(fd uintptr) {
+		n, _, err := unix.Recvfrom(int(fd), buf[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
+		arrived = err == nil && n > 0
+	})
+	return arrived && err == nil
+}
+
 // requestError says why the head or body of a request is rejected, with the response status.
 type requestError struct {
 	status int
@@ -279,9 +299,10 @@
 const lingerTimeout = 300 * time.Millisecond
 
 // lingeringClose closes the connection. It discards pending input first, since closing
-// with unread input resets the connection and the caller could lose the last response.
+// with unread input resets the connection and the caller could lose the last response. Between requests there is none to
+// lose, and the reset tells the caller of a request that crosses the close that it was not read.
 func (c *conn) lingeringClose() {
-	if c.closedIdle {
+	if c.endedIdle {
 		c.Close()
 		return
 	}
--- a/ingress/server.go
+++ b/ingress/server.go
@@ -7,6 +7,7 @@
 	"errors"
 	"io"
 	"net"
+	"os"
 	"runtime"
 	"sync"
 	"sync/atomic"
@@ -28,6 +29,7 @@
 	answerTime         = 200 * time.Millisecond  // left for the answers to requests that are still served when the time to stop ends
 	idleCloseDelay     = 2500 * time.Millisecond // from the start of shutdown until idle connections are closed
 	listenerCloseDelay = 3 * time.Second         // and until the listener is closed, by when the load balancer sends no new connections
+	firstRequestTime   = time.Second             // in which the first request of a new connection comes, so that it is not idle
 )
 
 // Server accepts the connections of callers and serves their requests with a Flow.
@@ -86,9 +88,10 @@
 	defer time.AfterFunc(time.Until(stopsAt), func() { s.end(errStopping) }).Stop()
 	for {
 		time.Sleep(50 * time.Millisecond)
-		elapsed := time.Since(stopStart)
+		now := time.Now()
+		elapsed := now.Sub(stopStart)
 		if elapsed > idleCloseDelay {
-			s.closeIdle()
+			s.closeIdle(now)
 		}
 		if elapsed > listenerCloseDelay {
 			s.listener.Close()
@@ -111,12 +114,12 @@
 }
 
 // closeIdle interrupts the reads of connections without a request in flight, so that
-// their goroutines close them.
-func (s *Server) closeIdle() {
+// their goroutines close them. New ones get the time for their first request.
+func (s *Server) closeIdle(now time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for c, busy := range s.conns {
-		if !busy {
+		if !busy && now.Sub(c.acceptedAt) >= firstRequestTime {
 			c.SetReadDeadline(pastDeadline)
 		}
 	}
@@ -155,7 +158,8 @@
 
 // serve serves the requests of one connection and closes it.
 func (s *Server) serve(nc net.Conn) {
-	c := &conn{Conn: nc, server: s, requestBegan: time.Now(), awaitingFirst: true}
+	now := time.Now()
+	c := &conn{Conn: nc, server: s, acceptedAt: now, requestBegan: now, awaitingFirst: true}
 	c.watcher = newCloseWatcher(nc)
 	s.admission.attachReader(c)
 	s.setBusy(c, false)
@@ -207,8 +211,13 @@
 func (s *Server) serveOne(c *conn) bool {
 	l := s.flow.limits()
 	c.SetReadDeadline(time.Now().Add(l.idleTimeout))
-	if err := s.awaitRequest(c); err != nil {
-		c.closedIdle = errors.Is(err, io.EOF)
+	err := s.awaitRequest(c)
+	if errors.Is(err, os.ErrDeadlineExceeded) && c.hasInput() { // a request came as the wait for it was interrupted
+		c.SetReadDeadline(time.Now().Add(l.headTimeout))
+		err = s.awaitRequest(c)
+	}
+	if err != nil {
+		c.endedIdle = errors.Is(err, io.EOF) || s.stopping.Load()
 		return false
 	}
 	if !c.awaitingFirst {
