--- a/gateway/stream_test.go
+++ b/gateway/stream_test.go
@@ -173,3 +173,43 @@
 		t.Errorf("got no end as a broken response, want one before the deadline; log:\n%s", got)
 	}
 }
+
+// Pauses of three times what the route calls on time make a stream late, no more.
+func TestSlowSoundStreamIsNotCut(t *testing.T) {
+	for _, resumable := range []bool{false, true} {
+		s := newTestbed(t, platformtest.Service("models", "stream", 2, map[string]any{
+			"public": true, "resumable": resumable, "timeout_ms": 6000, "engine": map[string]any{"slots": 8, "kv_capacity": 444000, "moves": true},
+		}))
+		b := s.startServer("i-1", "models", 12)
+		s.startServer("i-2", "models", 12).SetDefaultBehaviour(platformtest.SlowEvents)
+		s.waitReady()
+		b.SetDefaultBehaviour(platformtest.SlowEvents)
+		a := s.send("POST", "/models/x", "prompt")
+		if a.err != nil || a.status != http.StatusOK || strings.Count(a.body, "id: ") != 12 {
+			t.Errorf("resumable %v: got status %d, error %v and %d events of a slow stream, want all 12; log:\n%s", resumable, a.status, a.err, strings.Count(a.body, "id: "), s.logs)
+		}
+	}
+}
+
+// A byte now and then does not keep a stalled stream open beyond its route's time, and its end does not look complete.
+func TestStalledStreamThatSendsAByteNowAndThenEnds(t *testing.T) {
+	for _, resumable := range []bool{false, true} {
+		s := newTestbed(t, platformtest.Service("models", "stream", 2, map[string]any{
+			"public": true, "resumable": resumable, "timeout_ms": 1500, "engine": map[string]any{"slots": 8, "kv_capacity": 444000, "moves": true},
+		}))
+		b := s.startServer("i-1", "models", 12)
+		s.waitReady()
+		b.SetDefaultBehaviour(platformtest.Trickle)
+		began := time.Now()
+		a := s.send("POST", "/models/x", "prompt")
+		if took := time.Since(began); took > 2*time.Second {
+			t.Errorf("resumable %v: got the end of a stalled stream after %v, want it within 0.5 s of the route's 1.5 s", resumable, took)
+		}
+		if a.err == nil && a.status == http.StatusOK {
+			t.Errorf("resumable %v: got a complete response %q, want an error", resumable, a.body)
+		}
+		if !eventually(time.Second, func() bool { return b.Interrupted() > 0 }) {
+			t.Errorf("resumable %v: the router did not close the connection of a stalled stream", resumable)
+		}
+	}
+}
