settings: bounds with a fraction are accepted

What operators saw: no router of the small twin of the large fleet started: retry-slack 35.83 was refused, "give a whole number". Change: retry-slack, cold-slack and memory-mb drop the fraction, so that the limit is kept.

--- a/settings/gateway.go
+++ b/settings/gateway.go
@@ -68,7 +68,7 @@
 	{"vm", "zone", "", "availability zone of this VM", gatewayTextSetter(func(g *Gateway) *string { return &g.Zone }, checkName)},
 	{"vm", "ip", "", "IP address of this VM", gatewayTextSetter(func(g *Gateway) *string { return &g.IP }, checkIP)},
 	{"vm", "first-start", "false", "true when the fleet starts for the first time, so that no stream has begun before", gatewayBoolSetter(func(g *Gateway) *bool { return &g.FirstStart })},
-	{"vm", "memory-mb", "256", "memory limit of the process, in MB", gatewayIntSetter(func(g *Gateway) *int { return &g.MemoryLimitMB }, 32, 1<<20)},
+	{"vm", "memory-mb", "256", "memory limit of the process, in MB", gatewayFloorSetter(func(g *Gateway) *int { return &g.MemoryLimitMB }, 32, 1<<20)},
 	{"vm", "descriptors", "4096", "maximum number of open files and sockets of the process", gatewayIntSetter(func(g *Gateway) *int { return &g.MaxOpenFiles }, 64, 1<<20)},
 	{"log", "level", "info", "least severe level that is logged: debug, info, warn or error", gatewayTextSetter(func(g *Gateway) *string { return &g.LogLevel }, checkLevel)},
 	{"callers", "listen", "", "IP address and port for callers", gatewayTextSetter(func(g *Gateway) *string { return &g.Listen }, checkAddress)},
@@ -83,9 +83,9 @@
 	{"bounds", "grace-s", "8", "time from SIGTERM to SIGKILL, in seconds", gatewaySecondsSetter(func(g *Gateway) *time.Duration { return &g.GracePeriod })},
 	{"bounds", "retry-ratio", "0.2", "maximum number of retries per request, as an average over the whole fleet", gatewayFloatSetter(func(g *Gateway) *float64 { return &g.RetryRatio }, 0, 10)},
 	{"bounds", "retry-window-s", "10", "window over which retries are counted, in seconds", gatewaySecondsSetter(func(g *Gateway) *time.Duration { return &g.RetryWindow })},
-	{"bounds", "retry-slack", "50", "retries of the whole fleet per window beyond retry-ratio", gatewayIntSetter(func(g *Gateway) *int { return &g.RetrySlack }, 0, 1<<20)},
+	{"bounds", "retry-slack", "50", "retries of the whole fleet per window beyond retry-ratio", gatewayFloorSetter(func(g *Gateway) *int { return &g.RetrySlack }, 0, 1<<20)},
 	{"bounds", "cold-over", "1.5", "factor on the request rate that a cold backend server can sustain", gatewayFloatSetter(func(g *Gateway) *float64 { return &g.ColdRateFactor }, 0, 100)},
-	{"bounds", "cold-slack", "5", "requests per second to a cold backend server beyond that rate", gatewayIntSetter(func(g *Gateway) *int { return &g.ColdRateSlack }, 0, 1<<20)},
+	{"bounds", "cold-slack", "5", "requests per second to a cold backend server beyond that rate", gatewayFloorSetter(func(g *Gateway) *int { return &g.ColdRateSlack }, 0, 1<<20)},
 }
 
 func checkIP(value string) string {
@@ -116,6 +116,16 @@
 	}
 }
 
+// gatewayFloorSetter accepts numbers from minimum to maximum, and drops the fraction: a limit is kept by what is less.
+func gatewayFloorSetter(field func(*Gateway) *int, minimum, maximum int) func(*Gateway, string) string {
+	return func(g *Gateway, value string) string {
+		x := 0.0
+		remedy := gatewayFloatSetter(func(*Gateway) *float64 { return &x }, float64(minimum), float64(maximum))(g, value)
+		*field(g) = int(x)
+		return remedy
+	}
+}
+
 // gatewayBoolSetter accepts true and false.
 func gatewayBoolSetter(field func(*Gateway) *bool) func(*Gateway, string) string {
 	return func(g *Gateway, value string) string {
--- a/settings/gateway_test.go
+++ b/settings/gateway_test.go
@@ -69,3 +69,19 @@
 		t.Error("got no error for a switch that is neither true nor false")
 	}
 }
+
+// The platform splits bounds of a fleet by what it plays of it; a router that got 35.8 did not start.
+func TestFractionsOfLimitsAreDropped(t *testing.T) {
+	g, err := settings.ParseGateway([]byte(validGateway + "retry-slack = 35.833333333333336\ncold-slack = 0.5\n"))
+	if err != nil {
+		t.Fatalf("got %v, want fractions accepted", err)
+	}
+	if g.RetrySlack != 35 || g.ColdRateSlack != 0 {
+		t.Errorf("got %d and %d, want 35 and 0", g.RetrySlack, g.ColdRateSlack)
+	}
+	for _, odd := range []string{"-0.5", "1e9", "NaN", "35,8", "many"} {
+		if _, err := settings.ParseGateway([]byte(validGateway + "retry-slack = " + odd + "\n")); err == nil {
+			t.Errorf("got retry-slack %s accepted, want an error", odd)
+		}
+	}
+}
