follow: a delta serves a follower that lacks only what did not concern its table

Cause: a delta holds all changes after a version of the store, and it named the one at which its sender had last read. Other tables move that version on, so a router that had read its table before found a gap and asked the store by itself: each of 195 routers, for each change of the configuration. TestDeltaServesAFollowerThatIsBehindBySomethingElse failed. Change: a delta names the version since which no row of the table changed before its rows: that of the newest row before them, or that at which the sender read the whole table, since it does not know what was removed earlier (TestRemovalBeforeThePollerReadItsTableReachesPassiveFollowers, which passed before). Result: no call in that test.

--- a/follow/delta.go
+++ b/follow/delta.go
@@ -33,7 +33,7 @@
 // recentBatch holds the rows of one answer of the store.
 type recentBatch struct {
 	receivedAt time.Duration // clock reading
-	from       uint64        // version of the store that the table had before
+	from       uint64        // version of the store since which no row had changed before
 	rows       []Row
 }
 
@@ -56,7 +56,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.keepRecent(0, nil) // drops expired batches
-	d := Delta{Table: f.options.Name, Era: f.position.Era, From: f.position.Version, To: f.position.Version, NewestRow: f.newestRow.Version}
+	d := Delta{Table: f.options.Name, Era: f.position.Era, From: f.unchangedSince(), To: f.position.Version, NewestRow: f.newestRow.Version}
 	for i, b := range f.recent {
 		if i == 0 {
 			d.From = b.from
--- a/follow/fallback_test.go
+++ b/follow/fallback_test.go
@@ -79,3 +79,54 @@
 		t.Errorf("got %d calls of the store in 5 s from %d followers, want at most %d", calls, followers, most)
 	}
 }
+
+// Other tables move the store's version on. A follower that had read its table before took the next delta for one with a gap before
+// it, so each change of the configuration was read from the store by each router.
+func TestDeltaServesAFollowerThatIsBehindBySomethingElse(t *testing.T) {
+	s := &fakeStore{rows: map[string]uint64{}}
+	s.put("a")
+	poller, polled := start(t, s)
+	if !eventually(polled.loaded) {
+		t.Fatal("the poller did not read the table")
+	}
+	f, x, c := startPassive(t, s)
+	for range 3 {
+		s.advance()
+		to := s.advance()
+		if !eventually(func() bool { return poller.Position().Version >= to }) {
+			t.Fatal("the poller did not follow the store's version within 3 s")
+		}
+		exchange(2500*time.Millisecond, func() { f.ApplyDelta(poller.Delta()) }) // until the poller's recent changes are dropped
+		v := s.put("b")
+		if !eventually(func() bool { f.ApplyDelta(poller.Delta()); return x.holds("b", v) }) {
+			t.Fatal("the passive follower did not get the change within 3 s")
+		}
+	}
+	if got := c.count(); got > 0 {
+		t.Errorf("got %d calls of the store from a passive follower that gets all deltas, want none", got)
+	}
+}
+
+// The poller read its table after a row was removed, and cannot tell a follower that read it before.
+func TestRemovalBeforeThePollerReadItsTableReachesPassiveFollowers(t *testing.T) {
+	s := &fakeStore{rows: map[string]uint64{}}
+	s.put("a")
+	v := s.put("leaving")
+	f, x, _ := startPassive(t, s)
+	if !x.holds("leaving", v) {
+		t.Fatal("the table does not hold the row")
+	}
+	s.remove("leaving")
+	s.advance()
+	poller, polled := start(t, s)
+	if !eventually(polled.loaded) {
+		t.Fatal("the poller did not read the table")
+	}
+	b := s.put("b")
+	if !eventually(func() bool {
+		f.ApplyDelta(poller.Delta())
+		return x.holds("b", b) && x.holds("leaving", 0)
+	}) {
+		t.Error("a passive follower kept a row for 3 s that was removed before the poller read the table")
+	}
+}
--- a/follow/follow.go
+++ b/follow/follow.go
@@ -104,6 +104,7 @@
 
 	mu          sync.Mutex    // held while rows are applied to the table
 	position    Position      // up to which the table is current; zero before it was read
+	readAt      uint64        // version of the store when the whole table was read; what was removed before is not known
 	newestRow   Position      // no row changed between this position and position; mostly that of the newest row
 	loaded      bool          // the table has been read in this era, and its history not been dropped since
 	readAfter   time.Duration // clock reading before which the table is not read anew
@@ -167,6 +168,9 @@
 	return f.newestRow
 }
 
+// unchangedSince returns the version of the store since which no row has changed, as far as this follower can tell; f.mu is held.
+func (f *Follower) unchangedSince() uint64 { return max(f.readAt, f.newestRow.Version) }
+
 // recordNewest raises newestRow to the newest version among rows; f.mu is held.
 func (f *Follower) recordNewest(rows []Row) {
 	for _, r := range rows {
--- a/follow/follow_test.go
+++ b/follow/follow_test.go
@@ -43,6 +43,14 @@
 }
 
 // position returns the position of the store; s.mu is held.
+// advance moves the store's version on without a change of the table, and returns it.
+func (s *fakeStore) advance() uint64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.version += 10
+	return s.version
+}
+
 func (s *fakeStore) position() follow.Position {
 	return follow.Position{Era: s.era, Version: s.version}
 }
--- a/follow/read.go
+++ b/follow/read.go
@@ -118,7 +118,7 @@
 		f.lastFailure.Store(int64(now))
 		f.options.Table.Restore(b.Rows)
 	}
-	f.position, f.loaded, f.recent = b.Position, true, nil
+	f.position, f.readAt, f.loaded, f.recent = b.Position, b.Position.Version, true, nil
 	f.drawFallback()
 	if !sameEra {
 		f.newestRow = Position{Era: b.Era}
@@ -166,11 +166,12 @@
 			fresh = append(fresh, r)
 		}
 	}
+	unchangedSince := f.unchangedSince()
 	f.options.Table.Apply(fresh)
 	f.recordNewest(fresh)
 	if known.Before(b.Position) {
 		f.position = b.Position
 	}
-	f.keepRecent(known.Version, fresh)
+	f.keepRecent(unchangedSince, fresh)
 	return !b.Position.Before(known)
 }
