gossip: notices of a large fleet are sent each 0.4 s at most

Cause: while answers are lost by the hundred, each broken response is told for three seconds, in each period of 0.06 to 0.23 s, to each router of the zone, and zones tell each other up to 200 reports (13 KB), which two forwarders send on to all. Change: at most one each 0.4 s in fleets of more than 20; what is told is repeated for 3 s, so a lost one does no harm. Result: 3 to 7 in 2 s.

--- a/gossip/gossip.go
+++ b/gossip/gossip.go
@@ -103,11 +103,13 @@
 	periods int                    // since the start
 
 	// Used by Run alone.
-	startedAt time.Time
-	leaving   bool          // the last summary announced that this router leaves
-	announced bool          // the last summary announced that this router is a candidate for its zone's summary
-	period    time.Duration // between the last summary and the next
-	sendsZone bool          // this router sent the summary of its zone in the last period
+	startedAt  time.Time
+	leaving    bool          // the last summary announced that this router leaves
+	announced  bool          // the last summary announced that this router is a candidate for its zone's summary
+	period     time.Duration // between the last summary and the next
+	sendsZone  bool          // this router sent the summary of its zone in the last period
+	noticesAt  time.Time     // when notices were due last
+	noticesDue bool          // in this period
 }
 
 // New returns a Gossip that listens at a UDP address. It fails if the address is invalid or in use.
@@ -184,7 +186,9 @@
 		return due
 	}
 	g.send(append(data, kindSummary), to)
-	g.sendNotices(false, to)
+	if g.noticesDue {
+		g.sendNotices(false, to)
+	}
 	return due
 }
 
@@ -219,6 +223,10 @@
 // router's summary in the period.
 func (g *Gossip) beginPeriod(now time.Time) []netip.AddrPort {
 	m := g.nextMembership(now)
+	g.noticesDue = m.fleet.Known <= ZoneSummaryThreshold || now.Sub(g.noticesAt) >= noticesPeriod
+	if g.noticesDue {
+		g.noticesAt = now
+	}
 	for _, name := range m.timedOut {
 		g.logger.Info().Str("router", name).Dur("timeout_ms", peerTimeout).Msg("router-unreachable")
 	}
@@ -233,7 +241,9 @@
 	}
 	if m.sendsZone {
 		g.sendZoneSummary(now, m.forwarders[:min(zoneForwarders, len(m.forwarders))])
-		g.sendNotices(true, g.remoteForwarders(now))
+		if g.noticesDue {
+			g.sendNotices(true, g.remoteForwarders(now))
+		}
 	}
 	return m.targets
 }
--- a/gossip/notices.go
+++ b/gossip/notices.go
@@ -15,6 +15,10 @@
 	"bulrushtally/serverstatus"
 )
 
+// noticesPeriod is the least time between two notices of a router of a large fleet. They repeat what was told in some seconds, so
+// that in trouble they are longer than summaries.
+const noticesPeriod = 400 * time.Millisecond
+
 // Notices is what a router, or a zone, knows of what crashes backend servers, of the limits that they name and of those
 // that leave.
 type Notices struct {
--- a/gossip/period_test.go
+++ b/gossip/period_test.go
@@ -11,6 +11,7 @@
 
 	"bulrushtally/gossip"
 	"bulrushtally/placement"
+	"bulrushtally/quarantine"
 )
 
 // fakeRouter receives datagrams and may send summaries of a router of a zone.
@@ -20,9 +21,10 @@
 
 	mu        sync.Mutex
 	summaries []time.Time // when a router's own summary came
+	notices   int         // that came
 }
 
-const kindOwnSummary = 's'
+const kindOwnSummary, kindNotices = 's', 'q'
 
 // startFakes starts routers of five zones, of which zone-0 is the first, that a router gets to know by their addresses alone.
 func startFakes(t *testing.T, g *gossip.Gossip, routers int) (fakes []*fakeRouter) {
@@ -48,11 +50,14 @@
 		if err != nil {
 			return
 		}
-		if buffer[n-1] == kindOwnSummary {
-			f.mu.Lock()
+		f.mu.Lock()
+		switch buffer[n-1] {
+		case kindOwnSummary:
 			f.summaries = append(f.summaries, time.Now())
-			f.mu.Unlock()
+		case kindNotices:
+			f.notices++
 		}
+		f.mu.Unlock()
 	}
 }
 
@@ -150,3 +155,32 @@
 		}
 	}
 }
+
+// Hundreds of answers lost in some seconds were told to each router of the zone in each period.
+func TestNoticesOfALargeFleetAreSentLessOftenThanSummaries(t *testing.T) {
+	t.Parallel()
+	g, r, _ := startInZone(t, "zone-0", "r1")
+	fakes := startFakes(t, g, 30)
+	for _, f := range fakes {
+		f.announce(t, g.Address())
+	}
+	near := fakes[0]
+	if !r.eventually(func() bool { return r.received[near.name] > 0 }) {
+		t.Fatal("a router of the zone was not heard within 6 s")
+	}
+	notices := func() int {
+		near.mu.Lock()
+		defer near.mu.Unlock()
+		return near.notices
+	}
+	r.mu.Lock()
+	r.quarantine.RecordCrash(time.Now(), quarantine.Crash{Server: "i", StartedMs: 1}, 50*time.Millisecond, quarantine.Identity{Digest: 1, Parts: []string{"part"}})
+	r.mu.Unlock()
+	if !r.eventually(func() bool { return notices() > 0 }) {
+		t.Fatal("got no notice of a crash within 6 s")
+	}
+	time.Sleep(2 * time.Second)
+	if got := notices(); got < 3 || got > 7 {
+		t.Errorf("got %d notices of a crash in 2 s, want it repeated, and at most each 0.4 s", got)
+	}
+}
