gossip: updates of the store are sent each 0.1 s at most

Cause, supposed: each answer of the store with changes led to an update at once. It repeats the changes of two seconds, up to 60 KB, to each router of the zone; with three tables changing, as when suspects are written, 30 a second from each poller. Evidence: TestManyChangesLeadToFewUpdates failed. Change: 0.1 s between two updates at least. Result: 10 to 20 updates in 2 s of changes.

--- a/gossip/period_test.go
+++ b/gossip/period_test.go
@@ -22,9 +22,10 @@
 	mu        sync.Mutex
 	summaries []time.Time // when a router's own summary came
 	notices   int         // that came
+	updates   int         // that came
 }
 
-const kindOwnSummary, kindNotices = 's', 'q'
+const kindOwnSummary, kindNotices, kindUpdate = 's', 'q', 'n'
 
 // startFakes starts routers of five zones, of which zone-0 is the first, that a router gets to know by their addresses alone.
 func startFakes(t *testing.T, g *gossip.Gossip, routers int) (fakes []*fakeRouter) {
@@ -56,6 +57,8 @@
 			f.summaries = append(f.summaries, time.Now())
 		case kindNotices:
 			f.notices++
+		case kindUpdate:
+			f.updates++
 		}
 		f.mu.Unlock()
 	}
--- a/gossip/update.go
+++ b/gossip/update.go
@@ -25,6 +25,7 @@
 
 const (
 	updatePeriod = 300 * time.Millisecond // between two updates if none is sent early by SendUpdate
+	updateGap    = 100 * time.Millisecond // least time between two updates, each of which repeats the changes of some seconds
 	maxRowBytes  = 32 << 10               // largest size of a table's rows in an update; receivers read larger ones from the store
 )
 
@@ -58,6 +59,10 @@
 			continue
 		}
 		g.send(append(data, kindUpdate), g.zonePeers(time.Now()))
+		select {
+		case <-ctx.Done():
+		case <-time.After(updateGap):
+		}
 	}
 }
 
