--- a/ingress/conn.go
+++ b/ingress/conn.go
@@ -145,40 +145,35 @@
 // at the socket, since on a busy VM the watcher's goroutine may run late. Unread bytes of
 // a pipelined request mean that the connection is open.
 func (c *conn) closedByCaller() bool {
-	t, ok := c.Conn.(*net.TCPConn)
-	if !ok {
-		return false
-	}
-	raw, err := t.SyscallConn()
-	if err != nil {
-		return true
-	}
-	closed := false
-	var buf [1]byte
-	err = raw.Control(func(fd uintptr) { // raw.Read would block on the read that the watcher holds
-		n, _, err := unix.Recvfrom(int(fd), buf[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
-		closed = err == nil && n == 0 || errors.Is(err, unix.ECONNRESET)
-	})
-	return closed || err != nil
+	n, err := c.peek()
+	return err == nil && n == 0 || errors.Is(err, unix.ECONNRESET) || errors.Is(err, net.ErrClosed)
 }
 
 // hasInput reports whether bytes of the caller have arrived and not been read.
 func (c *conn) hasInput() bool {
+	n, err := c.peek()
+	return err == nil && n > 0
+}
+
+// peek looks for a byte that has arrived, without reading it or waiting for one. It returns net.ErrClosed if the router itself has
+// closed the connection, and otherwise what recvfrom does.
+func (c *conn) peek() (n int, err error) {
 	t, ok := c.Conn.(*net.TCPConn)
 	if !ok {
-		return false
+		return 0, unix.EAGAIN
 	}
 	raw, err := t.SyscallConn()
 	if err != nil {
-		return false
+		return 0, net.ErrClosed
 	}
-	arrived := false
 	var buf [1]byte
-	err = raw.Control(func(fd uintptr) {
-		n, _, err := unix.Recvfrom(int(fd), buf[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
-		arrived = err == nil && n > 0
+	controlErr := raw.Control(func(fd uintptr) { // raw.Read would block on the read that the watcher holds
+		n, _, err = unix.Recvfrom(int(fd), buf[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
 	})
-	return arrived && err == nil
+	if controlErr != nil {
+		return 0, net.ErrClosed
+	}
+	return n, err
 }
 
 // requestError says why the head or body of a request is rejected, with the response status.
