ingress: a connection that is to stay open is not closed right after its response in a stop

Cause, traced: a response whose head was written before the stop says that the connection stays open; when the stop had begun by its end, the connection was closed, after input had been read and dropped for up to 0.3 s to protect the response. A request that crossed that close was lost without its caller knowing that it may be sent again. Evidence: TestConnectionThatIsToStayOpenServesItsNextRequestDuringAStop failed (unexpected EOF). Change: the connection stays open as the response said. Its next response says that it closes, and idle ones are closed 2.5 s into the stop as before. Result: it passes, as do the other tests of stops.

--- a/gateway/stop_test.go
+++ b/gateway/stop_test.go
@@ -176,3 +176,39 @@
 		t.Errorf("got %d requests at the server, want 1", got)
 	}
 }
+
+// A response that began before the stop says that its connection stays open. It was closed all the same, and the request that its
+// caller sent next was read and dropped.
+func TestConnectionThatIsToStayOpenServesItsNextRequestDuringAStop(t *testing.T) {
+	s := newTestbed(t, platformtest.Service("models", "stream", 1, map[string]any{"public": true, "engine": map[string]any{"slots": 8, "kv_capacity": 444000}}))
+	s.startServer("i-1", "models", 200)
+	s.waitReady()
+	c, err := net.Dial("tcp4", s.gateway.Address())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	reader := bufio.NewReader(c)
+	send := func(id string) *http.Response {
+		t.Helper()
+		io.WriteString(c, "POST /models/x HTTP/1.1\r\nHost: site.example\r\nContent-Length: 0\r\nAttempt-Id: "+id+"\r\n\r\n")
+		c.SetReadDeadline(time.Now().Add(3 * time.Second))
+		a, err := http.ReadResponse(reader, nil)
+		if err != nil {
+			t.Fatalf("request %s: got %v, want an answer", id, err)
+		}
+		return a
+	}
+	first := send("first")
+	if first.Close {
+		t.Fatal("got a response that closes its connection before the stop")
+	}
+	s.stop()
+	if _, err := io.Copy(io.Discard, first.Body); err != nil {
+		t.Fatal(err)
+	}
+	next := send("next")
+	if next.StatusCode != 200 || !next.Close {
+		t.Errorf("got status %d, and the connection to be closed: %v, want 200, and closed after it", next.StatusCode, next.Close)
+	}
+}
--- a/ingress/server.go
+++ b/ingress/server.go
@@ -244,7 +244,7 @@
 	s.inFlight.Add(1)
 	defer s.inFlight.Add(-1)
 	keepConn := s.flow.serve(c, r, body)
-	return keepConn && !s.stopping.Load()
+	return keepConn
 }
 
 // errLeftBeforeServed is logged if a caller had disconnected by the time its request was read.
