--- a/follow/follow_test.go
+++ b/follow/follow_test.go
@@ -34,6 +34,16 @@
 	now            func() time.Duration
 }
 
+// startClock sets the store's clock, an hour ahead of a follower's, unless it has one.
+func (s *fakeStore) startClock(clock func() time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.now == nil {
+		s.now = func() time.Duration { return clock() + time.Hour }
+	}
+}
+
+// put writes a row and returns its version.
 func (s *fakeStore) put(key string) uint64 {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -196,9 +206,7 @@
 	t.Helper()
 	began := time.Now()
 	clock := func() time.Duration { return time.Since(began) }
-	if s.now == nil {
-		s.now = func() time.Duration { return clock() + time.Hour }
-	}
+	s.startClock(clock)
 	x := &recordingTable{values: map[string]uint64{}}
 	f := follow.New(follow.Options{
 		Name: "t", Source: s, Table: x, PollWait: func() time.Duration { return 10 * time.Millisecond }, Timeout: time.Second,
@@ -368,7 +376,7 @@
 	t.Helper()
 	began := time.Now()
 	clock := func() time.Duration { return time.Since(began) }
-	s.now = func() time.Duration { return clock() + time.Hour }
+	s.startClock(clock)
 	c, x := &countingSource{fakeStore: s}, &recordingTable{values: map[string]uint64{}}
 	f := follow.New(follow.Options{
 		Name: "t", Source: c, Table: x, PollWait: func() time.Duration { return 10 * time.Millisecond }, Timeout: time.Second,
