--- a/follow/follow_test.go
+++ b/follow/follow_test.go
@@ -52,7 +52,6 @@
 	return s.version
 }
 
-// position returns the position of the store; s.mu is held.
 // advance moves the store's version on without a change of the table, and returns it.
 func (s *fakeStore) advance() uint64 {
 	s.mu.Lock()
@@ -61,6 +60,7 @@
 	return s.version
 }
 
+// position returns the position of the store; s.mu is held.
 func (s *fakeStore) position() follow.Position {
 	return follow.Position{Era: s.era, Version: s.version}
 }
