--- a/review/lab/main.go
+++ b/review/lab/main.go
@@ -18,9 +18,10 @@
 
 // cases maps the name of each case to the function that plays it. It returns how often the rule was broken.
 var cases = map[string]func(f *fleet, trouble bool) (broken int, err error){
-	"stop":     playStop,
-	"unframed": playUnframed,
-	"drill":    playDrill,
+	"stop":      playStop,
+	"unframed":  playUnframed,
+	"odd-entry": playOddEntry,
+	"drill":     playDrill,
 }
 
 func main() {
