--- a/review/lab/main.go
+++ b/review/lab/main.go
@@ -21,6 +21,7 @@
 	"stop":      playStop,
 	"unframed":  playUnframed,
 	"odd-entry": playOddEntry,
+	"memory":    playMemory,
 	"drill":     playDrill,
 }
 
