--- a/review/lab/main.go
+++ b/review/lab/main.go
@@ -20,6 +20,7 @@
 var cases = map[string]func(f *fleet, trouble bool) (broken int, err error){
 	"stop":      playStop,
 	"unframed":  playUnframed,
+	"line-ends": playLineEnds,
 	"odd-entry": playOddEntry,
 	"memory":    playMemory,
 	"drill":     playDrill,
--- a/review/lab/server.go
+++ b/review/lab/server.go
@@ -39,6 +39,7 @@
 	events            int           // of a stream
 	gap               time.Duration // between two events
 	framed            func() bool   // whether the next stream is sent in chunks; nil if all are
+	lineEnd           string        // of the lines of events; "" is LF
 	quiet             bool          // single requests do not go into the record
 
 	mu      sync.Mutex
@@ -192,6 +193,9 @@
 			return false
 		}
 		event := fmt.Sprintf("id: %d\ndata: %s %d\n\n", n, id, n)
+		if s.lineEnd != "" {
+			event = strings.ReplaceAll(event, "\n", s.lineEnd)
+		}
 		if framed {
 			event = fmt.Sprintf("%x\r\n%s\r\n", len(event), event)
 		}
--- a/review/lab/unframed.go
+++ b/review/lab/unframed.go
@@ -33,15 +33,33 @@
 // playUnframed has callers send streams to two routers while some servers send some of their streams with neither a length
 // nor chunks.
 func playUnframed(f *fleet, trouble bool) (broken int, err error) {
+	return f.playReports(reportsPerCaller, func(i int, s *server) {
+		if trouble && i < garblingServers {
+			var answers atomic.Int64
+			s.framed = func() bool { return answers.Add(1)%garbledEvery != 0 }
+		}
+	})
+}
+
+// playLineEnds does the same while all servers end the lines of their events by CR LF, as text/event-stream allows. It is no case of the
+// review, since the pages name no such server.
+func playLineEnds(f *fleet, trouble bool) (broken int, err error) {
+	return f.playReports(1, func(_ int, s *server) {
+		if trouble {
+			s.lineEnd = "\r\n"
+		}
+	})
+}
+
+// playReports has callers send streams to two routers, after prepare has changed each server. It returns how many ended as complete
+// before their last event.
+func (f *fleet) playReports(perCaller int, prepare func(i int, s *server)) (broken int, err error) {
 	f.store.Put("op", "config", platformtest.Config(1, []string{key}, platformtest.Service("drafting", "stream", 1, map[string]any{
 		"timeout_ms": reportDeadline.Milliseconds(), "engine": map[string]any{"slots": 64, "kv_capacity": 444000, "moves": true},
 	})))
 	for i := range draftingServers {
 		s := &server{id: fmt.Sprintf("i-%d", i+1), service: "drafting", zone: zones[i%len(zones)], events: reportEvents, gap: reportGap}
-		if trouble && i < garblingServers {
-			var answers atomic.Int64
-			s.framed = func() bool { return answers.Add(1)%garbledEvery != 0 }
-		}
+		prepare(i, s)
 		if err := f.startServer(s); err != nil {
 			return 0, err
 		}
@@ -58,7 +76,7 @@
 			defer wait.Done()
 			c := &caller{record: f.record, address: f.routers[i%len(f.routers)].address}
 			defer c.leave()
-			for n := range reportsPerCaller {
+			for n := range perCaller {
 				id := fmt.Sprintf("report-%d-%d", i+1, n+1)
 				o := c.send(id, reportPath, reportDeadline, names.TokenCount+": "+reportTokens, fmt.Sprintf("%s: %08x:%d,%08x:%d", names.Segments, i%4+1, reportShared, 1000*i+n+100, 6610))
 				if o.status != 200 || !o.complete {
@@ -75,7 +93,7 @@
 		}()
 	}
 	wait.Wait()
-	if complete < reportCallers*reportsPerCaller/2 {
+	if complete < reportCallers*perCaller/2 {
 		return 0, errNoTraffic
 	}
 	return broken, nil
