--- a/review/lab/caller.go
+++ b/review/lab/caller.go
@@ -10,7 +10,6 @@
 	"io"
 	"net"
 	"net/http"
-	"strconv"
 	"strings"
 	"time"
 )
@@ -27,21 +26,19 @@
 	address string
 	conn    net.Conn
 	reader  *bufio.Reader
-	quiet   bool   // single requests do not go into the record
 	key     string // if another one than the usual
 }
 
 // outcome is how a request ended at its caller.
 type outcome struct {
-	id         string
-	sentAt     time.Time
-	endedAt    time.Time
-	status     int // 0 if no answer came
-	events     int
-	complete   bool  // the answer came to its end
-	err        error // why it did not
-	closes     bool  // the answer says that the connection closes
-	retryAfter time.Duration
+	id       string
+	sentAt   time.Time
+	endedAt  time.Time
+	status   int // 0 if no answer came
+	events   int
+	complete bool  // the answer came to its end
+	err      error // why it did not
+	closes   bool  // the answer says that the connection closes
 }
 
 // String returns what the record tells of the outcome.
@@ -61,13 +58,6 @@
 	return err
 }
 
-// tell records what becomes of a single request, unless the caller is quiet.
-func (c *caller) tell(format string, args ...any) {
-	if !c.quiet {
-		c.record.printf(format, args...)
-	}
-}
-
 // leave closes the connection.
 func (c *caller) leave() {
 	if c.conn != nil {
@@ -81,26 +71,21 @@
 
 // send sends a request with header lines and reads the whole answer.
 func (c *caller) send(id, path string, timeout time.Duration, header ...string) *outcome {
-	return c.sendBody(id, path, timeout, prompt, header...)
-}
-
-// sendBody sends a request with a body, as send does.
-func (c *caller) sendBody(id, path string, timeout time.Duration, body []byte, header ...string) *outcome {
 	o := &outcome{id: id, sentAt: time.Now()}
 	defer func() {
 		o.endedAt = time.Now()
-		c.tell("caller of %s got %v", c.address, o)
+		c.record.printf("caller of %s got %v", c.address, o)
 	}()
 	if o.err = c.connect(); o.err != nil {
 		return o
 	}
-	c.tell("caller sends %s %s to %s", id, path, c.address)
+	c.record.printf("caller sends %s %s to %s", id, path, c.address)
 	lines := append([]string{
 		"POST " + path + " HTTP/1.1", "Host: " + host, names.RequestID + ": " + id, names.APIKey + ": " + cmp.Or(c.key, key),
-		fmt.Sprintf("%s: %d", names.Deadline, timeout.Milliseconds()), fmt.Sprintf("Content-Length: %d", len(body)),
+		fmt.Sprintf("%s: %d", names.Deadline, timeout.Milliseconds()), fmt.Sprintf("Content-Length: %d", len(prompt)),
 	}, header...)
 	c.conn.SetDeadline(time.Now().Add(timeout + time.Second))
-	sent := net.Buffers{[]byte(strings.Join(lines, "\r\n") + "\r\n\r\n"), body}
+	sent := net.Buffers{[]byte(strings.Join(lines, "\r\n") + "\r\n\r\n"), prompt}
 	if _, o.err = sent.WriteTo(c.conn); o.err != nil {
 		c.leave()
 		return o
@@ -111,9 +96,6 @@
 		return o
 	}
 	o.status, o.closes = resp.StatusCode, resp.Close
-	if seconds, err := strconv.ParseFloat(resp.Header.Get(names.RetryAfter), 64); err == nil {
-		o.retryAfter = time.Duration(seconds * float64(time.Second))
-	}
 	answer, err := io.ReadAll(resp.Body)
 	o.err, o.complete, o.events = err, err == nil, strings.Count(string(answer), "id: ")
 	if err != nil || resp.Close {
--- a/review/lab/main.go
+++ b/review/lab/main.go
@@ -22,7 +22,6 @@
 	"unframed":  playUnframed,
 	"line-ends": playLineEnds,
 	"odd-entry": playOddEntry,
-	"memory":    playMemory,
 	"drill":     playDrill,
 }
 
--- a/review/lab/server.go
+++ b/review/lab/server.go
@@ -40,7 +40,6 @@
 	gap               time.Duration // between two events
 	framed            func() bool   // whether the next stream is sent in chunks; nil if all are
 	lineEnd           string        // of the lines of events; "" is LF
-	quiet             bool          // single requests do not go into the record
 
 	mu      sync.Mutex
 	runs    map[string]*run   // by ID
@@ -87,13 +86,6 @@
 	return entry, nil
 }
 
-// tell records what becomes of a single request, unless the server is quiet.
-func (s *server) tell(format string, args ...any) {
-	if !s.quiet {
-		s.record.printf(format, args...)
-	}
-}
-
 func (s *server) address() string { return s.listener.Addr().String() }
 
 func (s *server) close() {
@@ -179,7 +171,7 @@
 		framed = s.framed()
 	}
 	s.mu.Unlock()
-	s.tell("server %s (%s) runs %s %s after event %d, for at most %d ms, in chunks: %t", s.id, s.service, id, r.URL.Path, after, ms, framed)
+	s.record.printf("server %s (%s) runs %s %s after event %d, for at most %d ms, in chunks: %t", s.id, s.service, id, r.URL.Path, after, ms, framed)
 	head := fmt.Sprintf("HTTP/1.1 200 OK\r\n%s: %s\r\n%s: seal-%s\r\nContent-Type: text/event-stream\r\n", names.RequestID, id, names.ResponseSeal, s.id)
 	if framed {
 		head += "Transfer-Encoding: chunked\r\n"
@@ -189,7 +181,7 @@
 	}
 	for n := after + 1; n <= s.events; n++ {
 		if err == nil && time.Now().After(deadline) {
-			s.tell("server %s ends %s at the deadline that it was given, after event %d", s.id, id, n-1)
+			s.record.printf("server %s ends %s at the deadline that it was given, after event %d", s.id, id, n-1)
 			return false
 		}
 		event := fmt.Sprintf("id: %d\ndata: %s %d\n\n", n, id, n)
@@ -208,7 +200,7 @@
 		_, writeErr := io.WriteString(c, event)
 		s.mu.Unlock()
 		if writeErr != nil {
-			s.tell("server %s finds the connection of %s closed, after event %d", s.id, id, n-1)
+			s.record.printf("server %s finds the connection of %s closed, after event %d", s.id, id, n-1)
 			return false
 		}
 		select {
@@ -224,7 +216,7 @@
 	if !ended {
 		return false
 	}
-	s.tell("server %s has sent %s to its end, event %d", s.id, id, s.events)
+	s.record.printf("server %s has sent %s to its end, event %d", s.id, id, s.events)
 	if framed {
 		_, err := io.WriteString(c, "0\r\n\r\n")
 		return err == nil
