Log how the source of a moved stream ended, and how long after SIGTERM a request was read

The line migration-source-ended gives the framing of the answer that a server was told to stop, its events and how it ended; the line of a request says, during a stop, how long after the stop's start the request was read (negative: before it).

--- a/ingress/log.go
+++ b/ingress/log.go
@@ -11,6 +11,7 @@
 
 	"bulrushtally/placement"
 	"bulrushtally/quarantine"
+	"bulrushtally/upstream"
 )
 
 // flowMetrics are the metrics of a Flow: calls by status and cause, attempts,
@@ -42,6 +43,9 @@
 	f.metrics.scope.Tagged(map[string]string{"status": strconv.Itoa(status), "cause": cause}).Counter("requests").Inc(1)
 	f.metrics.duration.RecordDuration(elapsed)
 	e := f.Logger.Info().Str("request", x.meta.id).Int("status", status).Str("cause", cause).Dur("read_ms", x.readTime).Dur("duration_ms", elapsed)
+	if at := x.conn.server.stopBegan(); !at.IsZero() {
+		e = e.Dur("read_after_stop_ms", x.arrived.Sub(at)) // negative if it was read before
+	}
 	if x.table != nil {
 		e = e.Uint64("version", x.table.Version()).Dur("since_config_confirmed_ms", x.configAge)
 	}
@@ -99,6 +103,14 @@
 		Dur("answer_age_ms", c.AnswerAge).Msg("server-limit-changed")
 }
 
+// logSourceEnded logs how the answer of a backend server ended that was told to stop the request for its migration, and what
+// the answer's framing says of that end.
+func (x *call) logSourceEnded(g *placement.Grant, ex *upstream.Exchange, err error) {
+	s := x.stream
+	x.flow.Logger.Info().Str("request", x.meta.id).Str("server", g.ID()).Int("events", s.events).Int("partial_bytes", len(s.partial)).Str("last_event", s.lastID).
+		Bool("chunked", ex.Chunked()).Bool("ends_with_connection", ex.EndsWithConnection()).Err(err).Msg("migration-source-ended")
+}
+
 // maxLoggedURIBytes is how much of a request's URI is logged.
 const maxLoggedURIBytes = 160
 
--- a/ingress/server.go
+++ b/ingress/server.go
@@ -106,6 +106,15 @@
 // errStopping is the cause of the end of requests that are not answered when the time to stop ends.
 var errStopping = errors.New("the router stops")
 
+// stopBegan returns when the stop began, or the zero time if it has not.
+func (s *Server) stopBegan() time.Time {
+	at := s.stopsAt.Load()
+	if at == nil {
+		return time.Time{}
+	}
+	return at.Add(answerTime - s.stopTime)
+}
+
 // noConnections reports whether no connection is open.
 func (s *Server) noConnections() bool {
 	s.mu.Lock()
--- a/ingress/stream.go
+++ b/ingress/stream.go
@@ -230,9 +230,11 @@
 		}
 		switch {
 		case errors.Is(err, io.EOF) && len(s.partial) == 0:
+			x.logSourceEnded(g, ex, err)
 			_, v := x.finishStream(g, ex, true)
 			return true, v
 		case err != nil:
+			x.logSourceEnded(g, ex, err)
 			return false, nil
 		}
 	}
