ORDER: an end that the router ordered is not the end of an answer without length and chunks

Cause: a server that stops a run for its migration closes the stream without its end. drainSource took EOF between two events for the end of the answer, also where the answer has neither length nor chunks, so that EOF only says that the connection was closed, as ordered. forwardStream did the same where the answer to the order was lost or late, and counted a crash of the server where the answer was in chunks.

Why this fix works: after an order that was confirmed or not answered, only a last chunk or a length proves that an answer is complete. The migrator tells an order that was refused or never sent from one whose outcome is unknown.

--- a/ingress/flow.go
+++ b/ingress/flow.go
@@ -35,21 +35,6 @@
 	RecordCompleted(now time.Time, r quarantine.Identity)
 }
 
-// Migration describes the KV cache of a request that was stopped for migration.
-type Migration struct {
-	KVSource       string // location of the KV cache, sent with the request when it continues
-	CopiedToTarget bool   // the target has a copy; if false, only the source has the KV cache
-}
-
-// Migrator migrates running requests between backend servers.
-type Migrator interface {
-	// Migrate stops a request at the source and copies its KV cache to the target. It
-	// reports false if the request was not stopped and continues at the source.
-	Migrate(ctx context.Context, source, id, target string) (Migration, bool)
-	// ReleaseSource lets the source release the KV cache of a stopped request.
-	ReleaseSource(m Migration)
-}
-
 // Options configures a Flow.
 type Options struct {
 	Headers       *HeaderNames
--- a/ingress/stream.go
+++ b/ingress/stream.go
@@ -18,21 +18,22 @@
 
 // stream is the state of a response that is a series of server-sent events.
 type stream struct {
-	id          streamversion.Stream
-	source      streamversion.Source // of the version that the stream keeps to, if its caller takes it up
-	resumable   bool
-	begun       bool   // an event was forwarded
-	wholeEvents bool   // only complete events are forwarded, since the stream may continue at another backend server
-	lastID      string // ID of the last event that was forwarded
-	lastNumber  int64  // lastID as a number, -1 if it is none so far
-	partial     []byte // start of an incomplete event
-	readBuffer  []byte
-	events      int           // whole events that backend servers sent
-	afterLF     bool          // the last byte read ends a line
-	inEvent     bool          // an event has begun and not ended
-	chunks      int           // writes of the stream to the caller
-	lastReadAt  time.Time     // time of the last read that returned data
-	maxGap      time.Duration // longest time between two such reads
+	id           streamversion.Stream
+	source       streamversion.Source // of the version that the stream keeps to, if its caller takes it up
+	resumable    bool
+	begun        bool   // an event was forwarded
+	wholeEvents  bool   // only complete events are forwarded, since the stream may continue at another backend server
+	lastID       string // ID of the last event that was forwarded
+	lastNumber   int64  // lastID as a number, -1 if it is none so far
+	partial      []byte // start of an incomplete event
+	readBuffer   []byte
+	events       int           // whole events that backend servers sent
+	afterLF      bool          // the last byte read ends a line
+	inEvent      bool          // an event has begun and not ended
+	mayBeStopped bool          // the server was told to stop the request, and did not say whether it has
+	chunks       int           // writes of the stream to the caller
+	lastReadAt   time.Time     // time of the last read that returned data
+	maxGap       time.Duration // longest time between two such reads
 }
 
 // newStream returns the state of a stream that starts after the event with ID resumeAfter, if any.
@@ -61,7 +62,7 @@
 	if s.readBuffer == nil {
 		s.readBuffer = make([]byte, streamReadBytes)
 	}
-	s.partial, s.inEvent, s.afterLF = s.partial[:0], false, false
+	s.partial, s.inEvent, s.afterLF, s.mayBeStopped = s.partial[:0], false, false, false
 	eventsBefore := s.events
 	first := true
 	for {
@@ -84,17 +85,16 @@
 			err = errEventTooLong
 		}
 		switch {
+		case s.mayBeStopped && provesNoEnd(ex, err):
+			return x.streamError(ctx, g, errMayBeStopped)
 		case errors.Is(err, io.EOF):
 			return x.finishStream(g, ex, s.events > eventsBefore)
 		case err != nil:
 			return x.streamError(ctx, g, err)
 		}
 		if first && n > 0 && x.canMigrate() {
-			if target := g.Migrate(time.Now()); target != nil {
-				if moved, ok := x.flow.Migrator.Migrate(ctx, g.Address(), x.meta.id, target.Address()); ok {
-					return x.continueMigrated(ctx, g, ex, target, moved)
-				}
-				target.EndUnsent(time.Now())
+			if target, m := x.migrate(ctx, g); target != nil {
+				return x.continueMigrated(ctx, g, ex, target, m)
 			}
 		}
 		first = first && n == 0
@@ -124,11 +124,6 @@
 	}
 }
 
-// canMigrate reports whether the request may migrate. A request migrates at most once.
-func (x *call) canMigrate() bool {
-	return x.flow.Migrator != nil && x.service.Migrates && x.migrations == 0 && x.meta.id != ""
-}
-
 // recordRead records the arrival of data, for the time to the first event and the event gap.
 func (x *call) recordRead(g *placement.Grant, first bool) {
 	s, now := x.stream, time.Now()
@@ -148,98 +143,6 @@
 	s.lastReadAt = now
 }
 
-// continueMigrated forwards the remaining events of the source g, which has stopped, and
-// then the stream of the target. If the target cannot continue, the source does.
-func (x *call) continueMigrated(ctx context.Context, g *placement.Grant, ex *upstream.Exchange, target *placement.Grant, m Migration) (retry bool, v *result) {
-	x.migrations++
-	if done, v := x.drainSource(g, ex); done {
-		target.EndUnsent(time.Now())
-		return false, v
-	}
-	x.kvSource = m.KVSource
-	defer func() { x.kvSource = "" }()
-	if m.CopiedToTarget {
-		next, err := x.send(ctx, target)
-		if errors.Is(err, upstream.ErrAbandoned) {
-			return x.abandonMigrated(ctx, g, target, m)
-		}
-		if err == nil {
-			defer next.Close()
-			if x.accepted(next) {
-				x.endGrant(g, placement.Done)
-				go x.flow.Migrator.ReleaseSource(m)
-				return x.forwardStream(ctx, target, next)
-			}
-		}
-	}
-	target.EndUnsent(time.Now())
-	next, err := x.send(ctx, g)
-	if errors.Is(err, upstream.ErrAbandoned) {
-		return x.abandonMigrated(ctx, g, target, m)
-	}
-	if err != nil {
-		// Even if this connection failed, the request has run before.
-		return x.streamError(ctx, g, &upstream.ResponseError{Address: g.Address(), Err: err})
-	}
-	defer next.Close()
-	if !x.accepted(next) {
-		return x.streamError(ctx, g, errMigrationFailed)
-	}
-	return x.forwardStream(ctx, g, next)
-}
-
-// abandonMigrated ends a request that was stopped for its migration and whose caller has left, or whose
-// deadline has passed.
-func (x *call) abandonMigrated(ctx context.Context, g, target *placement.Grant, m Migration) (retry bool, v *result) {
-	target.EndUnsent(time.Now())
-	x.endGrant(g, placement.Abandoned)
-	go x.flow.Migrator.ReleaseSource(m)
-	if ctx.Err() != nil {
-		return false, x.contextEnded(ctx)
-	}
-	if x.hold != nil {
-		return false, x.holdResult()
-	}
-	return false, &result{status: 502, cause: causeLeft}
-}
-
-// errMigrationFailed is returned if neither source nor target continues a stopped request.
-var errMigrationFailed = errors.New("the request was stopped to move and no engine goes on with it")
-
-// accepted reports whether a backend server continues a migrated request.
-func (x *call) accepted(ex *upstream.Exchange) bool {
-	return !x.declined(ex) && ex.Status() == 200
-}
-
-// drainSource forwards the events that the source generated before it stopped, and reports
-// whether the call ends with them.
-func (x *call) drainSource(g *placement.Grant, ex *upstream.Exchange) (done bool, v *result) {
-	s := x.stream
-	for {
-		n, err := ex.Read(s.readBuffer)
-		if n > 0 {
-			x.recordRead(g, false)
-			x.recordEvents(s.readBuffer[:n])
-			if x.forwardEvents(ex, s.readBuffer[:n]) != nil {
-				x.endGrant(g, placement.Abandoned)
-				return true, &result{status: 502, cause: causeLeft}
-			}
-		}
-		if len(s.partial) > maxEventBytes {
-			err = errEventTooLong
-		}
-		switch {
-		case errors.Is(err, io.EOF) && len(s.partial) == 0:
-			x.logSourceEnded(g, ex, err)
-			_, v := x.finishStream(g, ex, true)
-			return true, v
-		case err != nil:
-			x.logSourceEnded(g, ex, err)
-			return false, nil
-		}
-	}
-}
-
 // forwardEvents forwards data from a stream: only complete events if wholeEvents is set,
 // all of it otherwise. It returns an error if writing to the caller fails.
 func (x *call) forwardEvents(ex *upstream.Exchange, b []byte) error {
