LOST: late in a stop, a request that may outlast it is told that it has not run

Cause: whether a connection closes is decided when the head of its response is written, for a stream long before its end. The next request was then passed on with its deadline cut to what was left of the stop, whether or not it could end by then. A request accepted before the stop that waited for a server was passed on late in it by the same lack of a look.

Why this fix works: from 2.5 s into the stop, when idle connections close too, a request that no server has had goes to one only if its caller's own deadline lies before the end of the stop. It is looked at when read, while it waits, and once more before it is written; otherwise it is answered 503 "not run", with Connection: close. Closing the connection after its stream instead would lose requests that cross the close.

Tests: TestLateRequestOnAKeptConnectionIsToldThatItHasNotRun (before: 200, and two requests at the server) and TestRequestThatWaitsLateInAStopIsToldThatItHasNotRun (before: passed on 4 s into the stop, 504).

--- a/gateway/stop_test.go
+++ b/gateway/stop_test.go
@@ -14,8 +14,8 @@
 	"bulrushtally/platform/platformtest"
 )
 
-// shortGrace is the setting of a time from SIGTERM to SIGKILL in which a test can wait.
-const shortGrace = "grace-s = 2"
+// shortGrace has a time from SIGTERM to SIGKILL in which a test can wait.
+var shortGrace = gatewaySettings{graceSeconds: 2, descriptors: 200, memoryMB: 256}
 
 // newStoppingTestbed starts a gateway with a short time to stop and one server, whose requests hang, of a service for
 // requests that run at most once.
@@ -183,32 +183,121 @@
 	s := newTestbed(t, platformtest.Service("models", "stream", 1, map[string]any{"public": true, "engine": map[string]any{"slots": 8, "kv_capacity": 444000}}))
 	s.startServer("i-1", "models", 200)
 	s.waitReady()
+	c := s.keepConn(t)
+	first := c.send("/models/x", "first", "")
+	if first.Close {
+		t.Fatal("got a response that closes its connection before the stop")
+	}
+	s.stop()
+	if _, err := io.Copy(io.Discard, first.Body); err != nil {
+		t.Fatal(err)
+	}
+	next := c.send("/models/x", "next", "")
+	if next.StatusCode != 200 || !next.Close {
+		t.Errorf("got status %d, and the connection to be closed: %v, want 200, and closed after it", next.StatusCode, next.Close)
+	}
+}
+
+// slowModels is a service of streams that take seconds, longer than is left late in a stop.
+var slowModels = platformtest.Service("models", "stream", 1, map[string]any{
+	"public": true, "timeout_ms": 8000, "engine": map[string]any{"slots": 8, "kv_capacity": 444000},
+})
+
+// keptConn is a connection of a caller that sends one request after another on it.
+type keptConn struct {
+	t      *testing.T
+	conn   net.Conn
+	reader *bufio.Reader
+}
+
+// keepConn opens a connection to the gateway that lasts until the end of the test.
+func (s *testbed) keepConn(t *testing.T) *keptConn {
+	t.Helper()
 	c, err := net.Dial("tcp4", s.gateway.Address())
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer c.Close()
-	reader := bufio.NewReader(c)
-	send := func(id string) *http.Response {
-		t.Helper()
-		io.WriteString(c, "POST /models/x HTTP/1.1\r\nHost: site.example\r\nContent-Length: 0\r\nAttempt-Id: "+id+"\r\n\r\n")
-		c.SetReadDeadline(time.Now().Add(3 * time.Second))
-		a, err := http.ReadResponse(reader, nil)
-		if err != nil {
-			t.Fatalf("request %s: got %v, want an answer", id, err)
-		}
-		return a
+	t.Cleanup(func() { c.Close() })
+	return &keptConn{t, c, bufio.NewReader(c)}
+}
+
+// send sends a request with an ID and further header lines, and returns the head of the response.
+func (c *keptConn) send(path, id, header string) *http.Response {
+	c.t.Helper()
+	io.WriteString(c.conn, "POST "+path+" HTTP/1.1\r\nHost: site.example\r\nContent-Length: 0\r\nAttempt-Id: "+id+"\r\n"+header+"\r\n")
+	c.conn.SetReadDeadline(time.Now().Add(10 * time.Second))
+	a, err := http.ReadResponse(c.reader, nil)
+	if err != nil {
+		c.t.Fatalf("request %s: got %v, want an answer", id, err)
 	}
-	first := send("first")
-	if first.Close {
-		t.Fatal("got a response that closes its connection before the stop")
+	return a
+}
+
+// Guards against requests that are cut off at the end of a stop: they came late in it, on a connection that was to stay open
+// since its answer had begun before the stop, and were passed on with the time that was left.
+func TestLateRequestOnAKeptConnectionIsToldThatItHasNotRun(t *testing.T) {
+	s := newTestbed(t, slowModels)
+	b := s.startServer("i-1", "models", 11)
+	b.SetDefaultBehaviour(platformtest.SlowEvents) // about 3 s a stream
+	s.waitReady()
+	c := s.keepConn(t)
+	first := c.send("/models/x", "first", "")
+	s.stop()
+	if _, err := io.Copy(io.Discard, first.Body); err != nil {
+		t.Fatal(err)
 	}
+	next := c.send("/models/x", "next", "")
+	if next.StatusCode != 503 || !next.Close || next.Header.Get("Retry-After") == "" {
+		t.Errorf("got status %d, Retry-After %q and the connection to be closed: %v, want 503, a time, and closed", next.StatusCode, next.Header.Get("Retry-After"), next.Close)
+	}
+	if got := len(b.Received()); got != 1 {
+		t.Errorf("got %d requests at the server, want the first alone", got)
+	}
+}
+
+// A request whose caller waits no longer than the stop lasts is served until the end.
+func TestLateRequestThatEndsBeforeTheStopIsServed(t *testing.T) {
+	s := newTestbed(t, slowModels)
+	b := s.startServer("i-1", "models", 11)
+	b.QueueBehaviours(platformtest.SlowEvents)
+	s.waitReady()
+	c := s.keepConn(t)
+	first := c.send("/models/x", "first", "")
 	s.stop()
 	if _, err := io.Copy(io.Discard, first.Body); err != nil {
 		t.Fatal(err)
 	}
-	next := send("next")
-	if next.StatusCode != 200 || !next.Close {
-		t.Errorf("got status %d, and the connection to be closed: %v, want 200, and closed after it", next.StatusCode, next.Close)
+	if next := c.send("/models/x", "next", "Deadline-Ms: 2000\r\n"); next.StatusCode != 200 {
+		t.Errorf("got status %d, want 200", next.StatusCode)
+	}
+}
+
+// Guards against the same for a request that was accepted before the stop and still waits for a server late in it.
+func TestRequestThatWaitsLateInAStopIsToldThatItHasNotRun(t *testing.T) {
+	s := newTestbed(t, platformtest.Service("desk", "non_idempotent", 1, map[string]any{"public": true, "timeout_ms": 9000, "slo_ms": 9000}))
+	b, err := platformtest.NewServer("i-1", 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(b.Close)
+	b.SetWorkTime(4 * time.Second)
+	entry := b.Entry("desk", "zone-a", "ready")
+	entry["slots"] = 1
+	s.store.Put("servers", "i-1", entry)
+	s.listedServers++
+	s.waitReady()
+	responses := s.sendMany(2) // one runs, and the other waits for its slot
+	if !eventually(time.Second, func() bool { return len(b.Received()) == 1 }) {
+		t.Fatal("got no request at the server")
+	}
+	s.stop()
+	if a := <-responses; a.err != nil || a.status != 503 || a.header.Get("Retry-After") == "" {
+		t.Errorf("got status %d, error %v and Retry-After %q for the request that waits, want 503 before the slot is free", a.status, a.err, a.header.Get("Retry-After"))
+	}
+	if a := <-responses; a.err != nil || a.status != 200 {
+		t.Errorf("got status %d and error %v for the request that ran, want 200", a.status, a.err)
+	}
+	if got := len(b.Received()); got != 1 {
+		t.Errorf("got %d requests at the server, want 1", got)
 	}
 }
--- a/gateway/testbed_test.go
+++ b/gateway/testbed_test.go
@@ -44,19 +44,27 @@
 	return c.LocalAddr().(*net.UDPAddr).Port
 }
 
-// usualGrace is the setting of the time from SIGTERM to SIGKILL.
-const usualGrace = "grace-s = 8"
+// gatewaySettings are the settings of a gateway that tests vary.
+type gatewaySettings struct {
+	graceSeconds int // from SIGTERM to SIGKILL
+	descriptors  int
+	memoryMB     int
+}
+
+// usualSettings are the settings of tests that vary none.
+var usualSettings = gatewaySettings{graceSeconds: 8, descriptors: 200, memoryMB: 256}
 
 // startGateway runs a gateway that finds the store at an address until the returned function is called. It also returns the
 // gateway's log.
-func startGateway(t testing.TB, storeAddress, name, grace string) (*gateway.Gateway, *lockedBuffer, context.CancelFunc) {
+func startGateway(t testing.TB, storeAddress, name string, varied gatewaySettings) (*gateway.Gateway, *lockedBuffer, context.CancelFunc) {
 	t.Helper()
 	text := fmt.Sprintf(`[vm]
 name = %s
 zone = zone-a
 ip = 127.0.0.1
 first-start = true
-descriptors = 200
+descriptors = %d
+memory-mb = %d
 [callers]
 listen = 127.0.0.1:0
 ready-listen = 127.0.0.1:0
@@ -66,8 +74,8 @@
 address = %s
 [bounds]
 revoke-ms = 2500
-%s
-`, name, freeUDPPort(t), storeAddress, grace)
+grace-s = %d
+`, name, varied.descriptors, varied.memoryMB, freeUDPPort(t), storeAddress, varied.graceSeconds)
 	s, err := settings.ParseGateway([]byte(text))
 	if err != nil {
 		t.Fatal(err)
@@ -86,18 +94,18 @@
 // with the services, or none if no services are given.
 func newTestbed(t testing.TB, services ...map[string]any) *testbed {
 	t.Helper()
-	return newTestbedWith(t, usualGrace, services...)
+	return newTestbedWith(t, usualSettings, services...)
 }
 
-// newTestbedWith starts a store and a gateway as newTestbed does, with a setting of the time to stop.
-func newTestbedWith(t testing.TB, grace string, services ...map[string]any) *testbed {
+// newTestbedWith starts a store and a gateway as newTestbed does, with settings of its own.
+func newTestbedWith(t testing.TB, varied gatewaySettings, services ...map[string]any) *testbed {
 	t.Helper()
 	s := &testbed{t: t, store: platformtest.NewStore(), client: &http.Client{Transport: &http.Transport{DisableCompression: true}}}
 	t.Cleanup(s.store.Close)
 	if len(services) > 0 {
 		s.store.Put("op", "config", platformtest.Config(1, []string{"key-1"}, services...))
 	}
-	s.gateway, s.logs, s.stop = startGateway(t, s.store.Address(), "router-1", grace)
+	s.gateway, s.logs, s.stop = startGateway(t, s.store.Address(), "router-1", varied)
 	t.Cleanup(s.stop)
 	return s
 }
@@ -112,7 +120,7 @@
 func (s *testbed) startRouterAt(storeAddress string) *testbed {
 	s.t.Helper()
 	second := *s
-	second.gateway, second.logs, second.stop = startGateway(s.t, storeAddress, "router-2", usualGrace)
+	second.gateway, second.logs, second.stop = startGateway(s.t, storeAddress, "router-2", usualSettings)
 	s.t.Cleanup(second.stop)
 	return &second
 }
--- a/ingress/attempt.go
+++ b/ingress/attempt.go
@@ -54,7 +54,7 @@
 // not run any more by the time a connection is ready.
 func (x *call) send(ctx context.Context, g *placement.Grant) (*upstream.Exchange, error) {
 	r := x.buildRequest(g)
-	r.Abandoned = func() bool { return x.quarantined() || x.conn.closedByCaller() } // the connection last: quarantined may wait for a lock
+	r.Abandoned = func() bool { return x.quarantined() || x.mayOutlastStop() || x.conn.closedByCaller() } // the connection last: quarantined may wait for a lock
 	r.NewConnection = slices.Contains(x.sentTo, g.ID())
 	x.sentTo = append(x.sentTo, g.ID())
 	ex, err := x.flow.Upstream.Send(ctx, g.Address(), r)
@@ -87,6 +87,9 @@
 	case abandoned && x.hold != nil:
 		g.EndUnsent(time.Now())
 		return false, x.holdResult()
+	case abandoned && x.mayOutlastStop():
+		g.EndUnsent(time.Now())
+		return false, stoppingResult()
 	case abandoned:
 		g.EndUnsent(time.Now())
 		return false, &result{status: 502, cause: causeLeft}
@@ -144,7 +147,7 @@
 	case stopped(ctx) && x.mayHaveRun:
 		return &result{status: 504, cause: causeStopping}
 	case stopped(ctx):
-		return &result{status: 503, cause: causeStopping, retryAfter: defaultRetryAfter}
+		return stoppingResult()
 	case !errors.Is(ctx.Err(), context.DeadlineExceeded):
 		return &result{status: 502, cause: causeLeft}
 	case x.mayHaveRun:
@@ -210,8 +213,8 @@
 // response was forwarded.
 func (x *call) retryServerError(ctx context.Context) (forwarded bool, v *result) {
 	x.attempts++
-	g, refusal := x.flow.Placer.Admit(ctx, x.placementRequest)
-	if refusal != nil {
+	g, _ := x.admit(ctx)
+	if g == nil {
 		return false, nil
 	}
 	x.placementRequest.Tried = append(x.placementRequest.Tried, g.ID())
--- a/ingress/flow.go
+++ b/ingress/flow.go
@@ -90,7 +90,8 @@
 	watchClose       func()        // from its call on, the request is canceled if the caller disconnects
 	readTime         time.Duration // from conn.requestBegan until the request was read
 	arrived          time.Time     // when the request was read
-	deadline         time.Time
+	callerDeadline   time.Time     // until when the caller and the route allow the request to take
+	deadline         time.Time     // the same, or the end of the router's shutdown if that comes before
 	identity         quarantine.Identity
 	hold             *quarantine.Hold // why the request must not run, once that was found
 	placementRequest *placement.Request
@@ -209,16 +210,17 @@
 	if timeout <= 0 {
 		timeout = route.DefaultTimeout
 	}
-	x.deadline = x.arrived.Add(timeout)
+	x.callerDeadline = x.arrived.Add(timeout)
 	elapsed := time.Duration(0)
 	if d := x.meta.deadline; d > 0 {
 		if x.route.Kind == route.Stream {
 			elapsed = max(0, timeout-d)
 		}
 		if d < timeout {
-			x.deadline = x.arrived.Add(d)
+			x.callerDeadline = x.arrived.Add(d)
 		}
 	}
+	x.deadline = x.callerDeadline
 	if at := x.conn.server.stopsAt.Load(); at != nil && at.Before(x.deadline) {
 		x.deadline = *at
 	}
@@ -273,6 +275,9 @@
 	if x.quarantined() {
 		return x.holdResult()
 	}
+	if x.mayOutlastStop() {
+		return stoppingResult()
+	}
 	f.Placer.RecordArrival(x.arrived, x.placementRequest)
 	x.placementRequest.OnWait = x.watchClose
 	if x.takesUp() {
@@ -286,9 +291,9 @@
 	unreachable := 0
 	for x.attempts < max(1, x.route.MaxAttempts) && unreachable < maxUnreachable {
 		x.leaveVersion()
-		grant, refusal := f.Placer.Admit(ctx, x.placementRequest)
-		if refusal != nil {
-			return x.refusalResult(ctx, refusal)
+		grant, v := x.admit(ctx)
+		if grant == nil {
+			return v
 		}
 		x.watchClose()
 		x.placementRequest.Tried = append(x.placementRequest.Tried, grant.ID())
@@ -307,6 +312,42 @@
 	return x.finalFailure(ctx)
 }
 
+// admit waits until the request is placed on a backend server, or returns how the call ends if it is not. Its wait ends when a
+// shutdown has come so far that the request may not be sent any more.
+func (x *call) admit(ctx context.Context) (*placement.Grant, *result) {
+	if !x.mayHaveRun {
+		var cancel context.CancelCauseFunc
+		ctx, cancel = context.WithCancelCause(ctx)
+		defer cancel(nil)
+		server, deadline := x.conn.server, x.callerDeadline
+		stop := context.AfterFunc(server.early, func() {
+			if server.mayCutOff(deadline) {
+				cancel(errStopping)
+			}
+		})
+		defer stop()
+	}
+	grant, refusal := x.flow.Placer.Admit(ctx, x.placementRequest)
+	if refusal != nil {
+		return nil, x.refusalResult(ctx, refusal)
+	}
+	return grant, nil
+}
+
+// mayOutlastStop reports whether the request must not be sent, since the router's shutdown may cut it off. One that may have
+// run already is sent again all the same: its caller cannot be told that it has not run.
+func (x *call) mayOutlastStop() bool {
+	return !x.mayHaveRun && x.conn.server.mayCutOff(x.callerDeadline)
+}
+
+// stoppingRetryAfter is the Retry-After of a request that has not run since the router stops: another router takes it at once.
+const stoppingRetryAfter = 50 * time.Millisecond
+
+// stoppingResult returns how a call ends that has not run since the router stops.
+func stoppingResult() *result {
+	return &result{status: http.StatusServiceUnavailable, cause: causeStopping, retryAfter: stoppingRetryAfter}
+}
+
 // quarantined reports whether the request must not run. It is asked on arrival and again before each
 // send, since the request may have waited, or run elsewhere, meanwhile.
 func (x *call) quarantined() bool {
--- a/ingress/server.go
+++ b/ingress/server.go
@@ -27,7 +27,7 @@
 
 const (
 	answerTime         = 200 * time.Millisecond  // left for the answers to requests that are still served when the time to stop ends
-	idleCloseDelay     = 2500 * time.Millisecond // from the start of shutdown until idle connections are closed
+	idleCloseDelay     = 2500 * time.Millisecond // from the start of shutdown until idle connections are closed, and requests are refused that may outlast it
 	listenerCloseDelay = 3 * time.Second         // and until the listener is closed, by when the load balancer sends no new connections
 	firstRequestTime   = time.Second             // in which the first request of a new connection comes, so that it is not idle
 )
@@ -43,6 +43,8 @@
 	stopsAt   atomic.Pointer[time.Time] // when requests are ended; nil before the start of shutdown
 	requests  context.Context           // of all requests, which ends then
 	end       context.CancelCauseFunc   // ends requests
+	early     context.Context           // ends idleCloseDelay after the start of shutdown
+	endEarly  context.CancelCauseFunc
 	inFlight  atomic.Int64
 	admission admission
 
@@ -63,6 +65,7 @@
 	}
 	s := &Server{flow: f, listener: ln, logger: logger, stopTime: stopTime, done: make(chan struct{}), conns: map[*conn]bool{}, admission: admission{maxOpen: int64(connections)}}
 	s.requests, s.end = context.WithCancelCause(context.Background())
+	s.early, s.endEarly = context.WithCancelCause(s.requests)
 	return s, nil
 }
 
@@ -77,7 +80,8 @@
 
 // Run serves until ctx is done, then shuts down gracefully: it goes on serving requests
 // but closes each connection after its response, then closes idle connections and the
-// listener. Shortly before stopTime has passed it ends the requests that are left. It returns nil when no connection is left.
+// listener, and refuses requests that may outlast the shutdown. Shortly before stopTime has passed it ends the requests that
+// are left. It returns nil when no connection is left.
 func (s *Server) Run(ctx context.Context) error {
 	go s.accept()
 	<-ctx.Done()
@@ -85,6 +89,7 @@
 	stopsAt := stopStart.Add(s.stopTime - answerTime)
 	s.stopsAt.Store(&stopsAt)
 	s.stopping.Store(true)
+	defer time.AfterFunc(idleCloseDelay, func() { s.endEarly(errStopping) }).Stop()
 	defer time.AfterFunc(time.Until(stopsAt), func() { s.end(errStopping) }).Stop()
 	for {
 		time.Sleep(50 * time.Millisecond)
@@ -115,6 +120,12 @@
 	return at.Add(answerTime - s.stopTime)
 }
 
+// mayCutOff reports whether the shutdown has come so far that a request with this deadline, sent to a backend server now, may
+// be cut off. Before that the load balancer still sends callers here, and most requests end in time.
+func (s *Server) mayCutOff(deadline time.Time) bool {
+	return s.early.Err() != nil && deadline.After(*s.stopsAt.Load())
+}
+
 // noConnections reports whether no connection is open.
 func (s *Server) noConnections() bool {
 	s.mu.Lock()
