backend: an event of many short lines is cut off at its limit

The limit of 1 MiB was looked at only when a line was longer than the read buffer.

Evidence: TestEndlessEventOfShortLinesIsCutOff, before: 2,097,152 bytes read of 2,097,152 sent; now little more than 1,048,576.

Why the fix works: the length is looked at after each line or part of one.

--- a/backend/events.go
+++ b/backend/events.go
@@ -7,6 +7,7 @@
 	"bufio"
 	"bytes"
 	"encoding/json"
+	"errors"
 )
 
 // maxEventBytes limits the size of one server-sent event, and how much of a response
@@ -33,14 +34,16 @@
 
 // readEvent returns the next server-sent event, including the blank line that ends it.
 // It skips empty events. It fails with the reader's error, such as io.EOF, also when the
-// input ends within an event, and with bufio.ErrBufferFull if a line longer than r's buffer
-// makes the event reach maxEventBytes.
+// input ends within an event, and with errEventTooLong if the event reaches maxEventBytes, in one line or in many.
 func readEvent(r *bufio.Reader) ([]byte, error) {
 	var event []byte
 	for {
 		line, err := r.ReadSlice('\n')
 		event = append(event, line...)
-		if err == bufio.ErrBufferFull && len(event) < maxEventBytes {
+		if len(event) >= maxEventBytes {
+			return nil, errEventTooLong
+		}
+		if err == bufio.ErrBufferFull {
 			continue
 		}
 		if err != nil {
@@ -56,6 +59,9 @@
 	}
 }
 
+// errEventTooLong is the error of a stream with an event of maxEventBytes or more.
+var errEventTooLong = errors.New("an event of the stream is longer than allowed")
+
 // usageField occurs in the event that carries the model server's token counts.
 var usageField = []byte(`"usage":{`)
 
--- a/backend/events_test.go
+++ b/backend/events_test.go
@@ -3,10 +3,23 @@
 import (
 	"bufio"
 	"bytes"
+	"errors"
 	"strings"
 	"testing"
 )
 
+// Guards against an event without end, of many short lines, that is read into memory until the server closes: only an event of
+// one long line was cut off.
+func TestEndlessEventOfShortLinesIsCutOff(t *testing.T) {
+	input := strings.NewReader(strings.Repeat("data: x\n", 2*maxEventBytes/8))
+	if event, err := readEvent(bufio.NewReader(input)); !errors.Is(err, errEventTooLong) {
+		t.Errorf("got an event of %d bytes and error %v, want errEventTooLong", len(event), err)
+	}
+	if read := int(input.Size()) - input.Len(); read > maxEventBytes+1<<16 {
+		t.Errorf("got %d bytes read of the event, want little more than %d", read, maxEventBytes)
+	}
+}
+
 // FuzzReadEvent checks that readEvent returns no empty events, and that each event stands in
 // the input after the ones before it.
 func FuzzReadEvent(f *testing.F) {
