Memory: heads, bodies and incomplete events of all connections share one budget

What could happen (a report of other operators): a server that sends bytes without end, or much and slowly, in a head or a body, has a router keep them. Each connection had a limit, but only bodies over 64 KiB were counted together.

Why this works: what an exchange holds is counted while it is received, heads by bytes and lines. Over a fifth of the VM's memory, the exchange that holds most and still receives is ended, never one with 8 KiB or less: faulty answers end themselves, sound ones pass. A body's buffer grows with what comes, the start of an event is dropped before the next server is asked, an error quotes at most 200 bytes of what was sent.

Tests: TestStalledResponsesShareOneBudget, TestStalledEventsShareOneBudget, TestStreamThatGoesOnKeepsNothingOfTheEventBefore and TestErrorOfALongMalformedHeadIsShort failed before.

A stand-in for answers that the tests of upstream write is shared; the two loops that forward a stream share their step.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -55,7 +55,7 @@
 	backgroundStopTimeout    = 500 * time.Millisecond // for the other parts to end once all callers are served
 	usedLimitFraction        = 0.85                   // of each fleet limit that routers use, since requests may be delayed on their way
 	callerConnFraction       = 0.6                    // of the file descriptors that callers' connections may use
-	bufferedBodyFraction     = 0.125                  // of the process's memory that long responses of backend servers may use
+	bufferedFraction         = 0.2                    // of the process's memory that responses of backend servers may hold
 	memoryLimitFraction      = 0.6                    // of the process's memory, as the soft limit of the Go runtime
 )
 
@@ -125,7 +125,7 @@
 	s := g.settings
 	g.placer = placement.New(placement.Options{Zone: s.Zone, Limits: g.fleetLimits(s), Routers: s.SpareRouters + 1, Now: time.Now()})
 	connOptions := upstream.DefaultOptions
-	connOptions.MaxBufferedBytes = int64(bufferedBodyFraction * float64(s.MemoryLimitMB) * (1 << 20))
+	connOptions.MaxBufferedBytes = int64(bufferedFraction * float64(s.MemoryLimitMB) * (1 << 20))
 	g.upstream = upstream.NewPool(connOptions, s.IP)
 	g.operatorRows = newOperatorTable(g.currentConfig, g.placer, g.logger)
 	g.followers.operator = g.newFollower(platform.OperatorTable, g.operatorRows, g.configPollWait)
@@ -334,9 +334,10 @@
 }
 
 // clean periodically closes expired connections to backend servers, and all idle ones when the
-// context ends. It also measures how many backend servers name a limit.
+// context ends. It also measures how many backend servers name a limit, and what their responses hold.
 func (g *Gateway) clean(ctx context.Context) error {
 	limited := g.metrics.Gauge("limited_servers")
+	held, ended := g.metrics.Gauge("response_bytes_held"), g.metrics.Gauge("exchanges_ended_for_memory")
 	t := time.NewTicker(closeExpiredPeriod)
 	defer t.Stop()
 	for {
@@ -347,6 +348,8 @@
 		case now := <-t.C:
 			g.upstream.CloseExpired(now)
 			limited.Update(float64(g.placer.LimitedServers()))
+			held.Update(float64(g.upstream.BufferedBytes()))
+			ended.Update(float64(g.upstream.EndedForMemory()))
 		}
 	}
 }
--- a/gateway/stop_test.go
+++ b/gateway/stop_test.go
@@ -15,7 +15,7 @@
 )
 
 // shortGrace has a time from SIGTERM to SIGKILL in which a test can wait.
-var shortGrace = gatewaySettings{graceSeconds: 2, descriptors: 200, memoryMB: 256}
+var shortGrace = gatewaySettings{graceSeconds: 2, descriptors: 200, memoryMB: 256, retrySlack: 50}
 
 // newStoppingTestbed starts a gateway with a short time to stop and one server, whose requests hang, of a service for
 // requests that run at most once.
--- a/gateway/testbed_test.go
+++ b/gateway/testbed_test.go
@@ -49,10 +49,11 @@
 	graceSeconds int // from SIGTERM to SIGKILL
 	descriptors  int
 	memoryMB     int
+	retrySlack   int // requests that the fleet may send again beside those that its share of all allows
 }
 
 // usualSettings are the settings of tests that vary none.
-var usualSettings = gatewaySettings{graceSeconds: 8, descriptors: 200, memoryMB: 256}
+var usualSettings = gatewaySettings{graceSeconds: 8, descriptors: 200, memoryMB: 256, retrySlack: 50}
 
 // startGateway runs a gateway that finds the store at an address until the returned function is called. It also returns the
 // gateway's log.
@@ -75,7 +76,8 @@
 [bounds]
 revoke-ms = 2500
 grace-s = %d
-`, name, varied.descriptors, varied.memoryMB, freeUDPPort(t), storeAddress, varied.graceSeconds)
+retry-slack = %d
+`, name, varied.descriptors, varied.memoryMB, freeUDPPort(t), storeAddress, varied.graceSeconds, varied.retrySlack)
 	s, err := settings.ParseGateway([]byte(text))
 	if err != nil {
 		t.Fatal(err)
--- a/ingress/attempt.go
+++ b/ingress/attempt.go
@@ -134,7 +134,7 @@
 
 // rerunAllowed reports whether the request may run again after a run that failed midway.
 func (x *call) rerunAllowed() bool {
-	return x.route.CanRepeat() || x.stream != nil && x.stream.resumable && !x.versionUnknown()
+	return x.route.CanRepeat() || x.stream != nil && x.stream.resumable && len(x.stream.lastID) <= maxEventIDBytes && !x.versionUnknown()
 }
 
 // stopped reports whether ctx has ended because the router's time to stop has.
--- a/ingress/migration.go
+++ b/ingress/migration.go
@@ -66,6 +66,7 @@
 		target.EndUnsent(time.Now())
 		return false, v
 	}
+	x.stream.partial = nil
 	x.kvSource = m.KVSource
 	defer func() { x.kvSource = "" }()
 	if m.CopiedToTarget {
@@ -135,21 +136,14 @@
 func (x *call) drainSource(g *placement.Grant, ex *upstream.Exchange) (done bool, v *result) {
 	s := x.stream
 	for {
-		n, err := ex.Read(s.readBuffer)
-		if n > 0 {
-			x.recordRead(g, false)
-			x.recordEvents(s.readBuffer[:n])
-			if x.forwardEvents(ex, s.readBuffer[:n]) != nil {
-				x.endGrant(g, placement.Abandoned)
-				return true, &result{status: 502, cause: causeLeft}
-			}
-		}
-		if len(s.partial) > maxEventBytes {
-			err = errEventTooLong
-		}
+		_, err := x.relay(g, ex, false)
 		if err == nil {
 			continue
 		}
+		if errors.Is(err, errCallerLeft) {
+			x.endGrant(g, placement.Abandoned)
+			return true, &result{status: 502, cause: causeLeft}
+		}
 		x.logSourceEnded(g, ex, err)
 		if !errors.Is(err, io.EOF) || len(s.partial) > 0 || provesNoEnd(ex, err) {
 			return false, nil
--- a/ingress/response.go
+++ b/ingress/response.go
@@ -25,6 +25,9 @@
 // writeTimeout is how long a caller may take to accept one write.
 const writeTimeout = 10 * time.Second
 
+// maxJoinedBodyBytes is the length of the longest body that is copied behind its head, so that both are written at once.
+const maxJoinedBodyBytes = 16 << 10
+
 func newResponseWriter(c *conn, r *http.Request) *responseWriter {
 	http10 := r.ProtoMajor == 1 && r.ProtoMinor == 0
 	return &responseWriter{conn: c, closeConn: r.Close || http10, http10: http10, headOnly: r.Method == http.MethodHead}
@@ -53,12 +56,20 @@
 	if status != http.StatusNoContent && status != http.StatusNotModified {
 		b = appendHeader(b, "Content-Length", strconv.Itoa(len(body)))
 	}
-	b = append(b, "\r\n"...)
-	if !w.headOnly {
-		b = append(b, body...)
+	w.buffer = append(b, "\r\n"...)
+	if w.headOnly {
+		body = nil
 	}
-	w.buffer = b
-	w.keepConn = w.flush() == nil && !w.closeConn
+	if len(body) <= maxJoinedBodyBytes {
+		w.buffer = append(w.buffer, body...)
+		body = nil
+	}
+	err := w.flush()
+	if err == nil && len(body) > 0 {
+		w.buffer = body
+		err = w.flush()
+	}
+	w.keepConn = err == nil && !w.closeConn
 }
 
 // bufferHead buffers the head of a response whose length is not known yet.
@@ -95,12 +106,18 @@
 	w.keepConn = w.flush() == nil && !w.closeConn
 }
 
+// maxKeptBufferBytes is the largest capacity of a buffer that is kept for the next chunk.
+const maxKeptBufferBytes = 16 << 10
+
 // flush writes the buffer to the caller within writeTimeout.
 func (w *responseWriter) flush() error {
 	w.conn.SetWriteDeadline(time.Now().Add(writeTimeout))
 	n, err := w.conn.Write(w.buffer)
 	w.written += n
 	w.buffer = w.buffer[:0]
+	if cap(w.buffer) > maxKeptBufferBytes {
+		w.buffer = nil
+	}
 	return err
 }
 
--- a/ingress/stream.go
+++ b/ingress/stream.go
@@ -48,8 +48,11 @@
 // maxEventBytes is the length of the longest event of a stream that is kept until it is complete.
 const maxEventBytes = 256 << 10
 
-// errEventTooLong is the error of a stream with a longer event.
-var errEventTooLong = errors.New("an event of the stream is longer than allowed")
+// maxEventIDBytes is the length of the longest ID of an event after which a stream goes on.
+const maxEventIDBytes = 256
+
+// errEventTooLong is the error of a stream with a longer event or ID.
+var errEventTooLong = errors.New("an event of the stream, or its ID, is longer than allowed")
 
 // streamReadBytes is the size of the buffer for reads from a stream.
 const streamReadBytes = 4 << 10
@@ -64,27 +67,12 @@
 	}
 	s.partial, s.inEvent, s.afterLF, s.mayBeStopped = s.partial[:0], false, false, false
 	eventsBefore := s.events
-	first := true
-	for {
-		n, err := ex.Read(s.readBuffer)
-		if first && n > 0 && x.versionChanged(g) {
-			return x.streamError(ctx, g, errRestarted)
-		}
-		if n > 0 {
-			x.recordRead(g, first)
-			x.recordEvents(s.readBuffer[:n])
-			if first && x.canMigrate() {
-				s.wholeEvents = true
-			}
-			if x.forwardEvents(ex, s.readBuffer[:n]) != nil {
-				x.endGrant(g, placement.Abandoned)
-				return false, &result{status: 502, cause: causeLeft}
-			}
-		}
-		if len(s.partial) > maxEventBytes {
-			err = errEventTooLong
-		}
+	for first := true; ; {
+		n, err := x.relay(g, ex, first)
 		switch {
+		case errors.Is(err, errCallerLeft):
+			x.endGrant(g, placement.Abandoned)
+			return false, &result{status: 502, cause: causeLeft}
 		case s.mayBeStopped && provesNoEnd(ex, err):
 			return x.streamError(ctx, g, errMayBeStopped)
 		case errors.Is(err, io.EOF):
@@ -101,6 +89,42 @@
 	}
 }
 
+// errCallerLeft is the error of a stream whose events cannot be written to its caller.
+var errCallerLeft = errors.New("the caller does not take the events of its stream")
+
+// relay reads from a stream once and forwards the events that are complete; first says that nothing of this answer has come
+// before. It returns io.EOF at the end of the answer, errCallerLeft, or why the stream cannot go on.
+func (x *call) relay(g *placement.Grant, ex *upstream.Exchange, first bool) (n int, err error) {
+	s := x.stream
+	n, err = ex.Read(s.readBuffer)
+	if n > 0 {
+		if first && x.versionChanged(g) {
+			return n, errRestarted
+		}
+		x.recordRead(g, first)
+		x.recordEvents(s.readBuffer[:n])
+		if first && x.canMigrate() {
+			s.wholeEvents = true
+		}
+		if x.forwardEvents(ex, s.readBuffer[:n]) != nil {
+			return n, errCallerLeft
+		}
+	}
+	if len(s.partial) > maxEventBytes || len(s.lastID) > maxEventIDBytes {
+		return n, errEventTooLong
+	}
+	if err != nil {
+		return n, err
+	}
+	return n, ex.HoldBody(x.heldBytes())
+}
+
+// heldBytes returns how much memory the stream's events take in this process.
+func (x *call) heldBytes() int64 {
+	s := x.stream
+	return int64(cap(s.partial) + cap(x.response.buffer))
+}
+
 // provenEvents is after how many whole events a server has begun to answer without crashing on that.
 const provenEvents = 2
 
@@ -225,6 +249,7 @@
 // streamError ends an attempt whose stream broke, and returns what attempt returns.
 func (x *call) streamError(ctx context.Context, g *placement.Grant, err error) (retry bool, v *result) {
 	retry, v = x.attemptError(ctx, g, err)
+	x.stream.partial = nil // the next server may take long to answer
 	if !retry && x.response.started {
 		x.response.keepConn = false
 	}
--- a/upstream/endless_test.go
+++ b/upstream/endless_test.go
@@ -19,17 +19,15 @@
 	"bulrushtally/upstream"
 )
 
-// startEndlessServer starts a backend server that answers each request with start and then with line, again and
-// again, until the connection is closed or most bytes were sent. The function sent returns how many bytes were.
-func startEndlessServer(t *testing.T, start, line string, most int64) (address string, sent func() int64) {
+// startAnsweringServer starts a backend server that has answer send what it likes on each connection, after a request on it was
+// read, and then closes it.
+func startAnsweringServer(t *testing.T, answer func(c net.Conn, r *http.Request)) (address string) {
 	t.Helper()
 	ln, err := net.Listen("tcp4", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { ln.Close() })
-	var total atomic.Int64
-	block := strings.Repeat(line, 1+(64<<10)/len(line))
 	go func() {
 		for {
 			c, err := ln.Accept()
@@ -38,18 +36,29 @@
 			}
 			go func() {
 				defer c.Close()
-				if _, err := http.ReadRequest(bufio.NewReader(c)); err != nil {
-					return
-				}
-				fmt.Fprint(c, start)
-				for n, err := 0, error(nil); err == nil && total.Load() < most; {
-					n, err = io.WriteString(c, block)
-					total.Add(int64(n))
+				if r, err := http.ReadRequest(bufio.NewReader(c)); err == nil {
+					answer(c, r)
 				}
 			}()
 		}
 	}()
-	return ln.Addr().String(), total.Load
+	return ln.Addr().String()
+}
+
+// startEndlessServer starts a backend server that answers each request with start and then with line, again and
+// again, until the connection is closed or most bytes were sent. The function sent returns how many bytes were.
+func startEndlessServer(t *testing.T, start, line string, most int64) (address string, sent func() int64) {
+	t.Helper()
+	var total atomic.Int64
+	block := strings.Repeat(line, 1+(64<<10)/len(line))
+	address = startAnsweringServer(t, func(c net.Conn, _ *http.Request) {
+		fmt.Fprint(c, start)
+		for n, err := 0, error(nil); err == nil && total.Load() < most; {
+			n, err = io.WriteString(c, block)
+			total.Add(int64(n))
+		}
+	})
+	return address, total.Load
 }
 
 // A head without end was read into memory until the request's deadline.
--- a/upstream/exchange.go
+++ b/upstream/exchange.go
@@ -89,12 +89,12 @@
 }
 
 var (
-	errNoResponse      = errors.New("received only interim responses or responses to other requests")
-	errHeadTooLong     = errors.New("response head is longer than allowed")
-	errBodyTooLong     = errors.New("response body is longer than allowed")
-	errTooMuchBuffered = errors.New("response bodies that are read at the same time are longer than allowed")
-	errNotHTTP1        = errors.New("response is not HTTP/1")
-	errNoID            = errors.New("response on a connection that carried another request does not say which it is for")
+	errNoResponse  = errors.New("received only interim responses or responses to other requests")
+	errHeadTooLong = errors.New("response head is longer than allowed")
+	errBodyTooLong = errors.New("response body is longer than allowed")
+	errTooMuchHeld = errors.New("responses that are received at the same time take more memory than allowed, this one most")
+	errNotHTTP1    = errors.New("response is not HTTP/1")
+	errNoID        = errors.New("response on a connection that carried another request does not say which it is for")
 )
 
 // MaxInlineBodyBytes is the length of the longest request body that is written together
@@ -107,7 +107,7 @@
 	maxSkippedResponses  = 2 // interim (1xx) responses and responses to other requests that are skipped before the response
 	maxResponseHeadBytes = 64 << 10
 	maxResponseBodyBytes = 16 << 20
-	smallBodyBytes       = 64 << 10 // up to this capacity, the buffer of a body is not counted in Options.MaxBufferedBytes
+	firstBodyBytes       = 64 << 10 // largest first capacity of a body's buffer, which grows with what comes
 )
 
 // Exchange is a request that was sent and the response to it. It must be closed.
@@ -120,8 +120,13 @@
 	requestWritten bool        // head and short body were written; stays false for a long body
 	complete       bool        // the response body was read to its end
 	reused         bool        // the connection carried an earlier request
-	buffered       int64       // bytes of the body's buffer that are counted in Pool.buffered
 	closed         atomic.Bool
+	head           headMeter
+	bodyHeld       int64 // bytes that the reader of the body holds of it
+
+	held        int64 // bytes that the exchange holds; guarded by memory.mu, as are the next two
+	received    bool  // the response was received to its end
+	tooMuchHeld bool  // the exchange was ended for what it held
 }
 
 // Send sends a request and reads the head of the response. If the context ends before
@@ -144,6 +149,7 @@
 		return nil, &ResponseError{address, err}
 	}
 	if err := x.readHead(r); err != nil {
+		err = x.explain(err)
 		x.Close()
 		return nil, &ResponseError{address, err}
 	}
@@ -170,13 +176,11 @@
 
 // readHead reads the head of the response. It skips interim responses and late
 // responses to earlier requests, and fails if there are more than maxSkippedResponses, or if a
-// head is longer than maxResponseHeadBytes. A response without an ID may be to any request that the connection carried,
+// head is longer than maxResponseHeadBytes or does not fit beside what other exchanges hold. A response without an ID may be to any request that the connection carried,
 // so only that on a new connection is the response to this one.
 func (x *Exchange) readHead(r *Request) error {
-	defer x.conn.limitReads(noReadLimit)
 	for range maxSkippedResponses + 1 {
-		x.conn.limitReads(maxResponseHeadBytes)
-		resp, err := http.ReadResponse(x.conn.reader, &http.Request{Method: r.Method})
+		resp, err := x.readOneHead(r.Method)
 		if err != nil {
 			return err
 		}
@@ -188,7 +192,6 @@
 		}
 		id := resp.Header.Get(r.IDHeader)
 		if id != "" && id != r.ID {
-			x.conn.limitReads(noReadLimit)
 			if _, err := io.CopyN(io.Discard, resp.Body, maxResponseBodyBytes); !errors.Is(err, io.EOF) {
 				return errNoResponse
 			}
@@ -203,6 +206,54 @@
 	return errNoResponse
 }
 
+// readOneHead reads the head of the next response on the connection.
+func (x *Exchange) readOneHead(method string) (*http.Response, error) {
+	x.head = headMeter{}
+	buffered, _ := x.conn.reader.Peek(x.conn.reader.Buffered())
+	if err := x.countHead(buffered); err != nil {
+		return nil, err
+	}
+	x.conn.headOf = x
+	defer func() { x.conn.headOf = nil }()
+	return http.ReadResponse(x.conn.reader, &http.Request{Method: method})
+}
+
+// countHead counts bytes of a head that were read. It returns an error if the head is too long, or takes too much memory.
+func (x *Exchange) countHead(b []byte) error {
+	x.head.write(b)
+	if x.head.bytes > maxResponseHeadBytes {
+		return errHeadTooLong
+	}
+	return x.pool.memory.hold(x, x.head.memory())
+}
+
+// maxErrorBytes is the length of the longest text of an error, which may quote what a server sent.
+const maxErrorBytes = 200
+
+// explain returns errTooMuchHeld instead of err if that is why the connection was closed, and else err without a long text.
+func (x *Exchange) explain(err error) error {
+	if x.pool.memory.isTooMuchHeld(x) {
+		return errTooMuchHeld
+	}
+	if text := err.Error(); len(text) > maxErrorBytes {
+		return errors.New(text[:maxErrorBytes])
+	}
+	return err
+}
+
+// HoldBody records what the caller of Read holds of the body, in bytes. It returns a *ResponseError if the exchange is ended
+// because that does not fit beside what other exchanges hold.
+func (x *Exchange) HoldBody(bytes int64) error {
+	if bytes == x.bodyHeld {
+		return nil
+	}
+	x.bodyHeld = bytes
+	if err := x.pool.memory.hold(x, x.head.memory()+bytes); err != nil {
+		return &ResponseError{x.conn.address, err}
+	}
+	return nil
+}
+
 // Address returns the IP address and port of the backend server.
 func (x *Exchange) Address() string { return x.conn.address }
 
@@ -221,38 +272,35 @@
 // Header returns the header of the response.
 func (x *Exchange) Header() http.Header { return x.response.Header }
 
-// Reused reports whether the connection carried an earlier request. Nothing calls it.
-func (x *Exchange) Reused() bool { return x.reused }
-
 // Read reads from the response body. It returns io.EOF only at the end of a complete
 // body; other errors are *ResponseError.
 func (x *Exchange) Read(b []byte) (int, error) {
 	n, err := x.response.Body.Read(b)
 	if errors.Is(err, io.EOF) {
 		x.complete = true
+		x.response.Trailer = nil // it is not forwarded
+		x.pool.memory.setReceived(x)
 		return n, io.EOF
 	}
 	if err != nil {
-		return n, &ResponseError{x.conn.address, err}
+		return n, &ResponseError{x.conn.address, x.explain(err)}
 	}
 	return n, nil
 }
 
 // ReadAll returns the complete response body. It returns a *ResponseError if the body
-// cannot be read to its end, is too long, or does not fit beside the others of the pool.
+// cannot be read to its end, is too long, or does not fit beside what other exchanges hold.
 func (x *Exchange) ReadAll() ([]byte, error) {
-	capacity := int64(1024)
-	if n := x.response.ContentLength; n > 0 && n < maxResponseBodyBytes {
-		capacity = n + 1
+	b := make([]byte, 0, firstCapacity(x.response.ContentLength))
+	if err := x.HoldBody(int64(cap(b))); err != nil {
+		return nil, err
 	}
-	var b []byte
 	for {
 		if len(b) == cap(b) {
-			grown, err := x.grow(b, max(capacity, 2*int64(cap(b))))
-			if err != nil {
+			if err := x.HoldBody(2 * int64(cap(b))); err != nil {
 				return nil, err
 			}
-			b = grown
+			b = append(make([]byte, 0, 2*cap(b)), b...)
 		}
 		n, err := x.Read(b[len(b):cap(b)])
 		b = b[:len(b)+n]
@@ -267,17 +315,14 @@
 	}
 }
 
-// grow returns a body buffer of the given capacity with the contents of b, and counts it in
-// Pool.buffered until the exchange is closed. It returns a *ResponseError if that exceeds
-// Options.MaxBufferedBytes.
-func (x *Exchange) grow(b []byte, capacity int64) ([]byte, error) {
-	if added := capacity - x.buffered; capacity > smallBodyBytes {
-		if !x.pool.reserve(added) {
-			return nil, &ResponseError{x.conn.address, errTooMuchBuffered}
-		}
-		x.buffered = capacity
+// firstCapacity returns the first capacity of the buffer for a body of a length, or -1 if that is not known. A server that
+// only says that its body is long gets no more than one that sends it.
+func firstCapacity(length int64) int64 {
+	const unknownLength = 1 << 10
+	if length <= 0 {
+		return unknownLength
 	}
-	return append(make([]byte, 0, capacity), b...), nil
+	return min(length+1, firstBodyBytes)
 }
 
 // Close ends the exchange. It keeps the connection for reuse if the response was read
@@ -287,7 +332,7 @@
 	if x.closed.Swap(true) {
 		return
 	}
-	x.pool.buffered.Add(-x.buffered)
+	x.pool.memory.release(x)
 	contextLive := x.unwatch == nil || x.unwatch()
 	if !contextLive || !x.reusable() {
 		x.conn.abort()
--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -8,7 +8,6 @@
 	"errors"
 	"net"
 	"sync"
-	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -22,7 +21,7 @@
 	NonRepeatableMaxIdle   time.Duration // longest idle time of a connection that is reused for a non-repeatable request
 	IdleTimeout            time.Duration // a connection is closed after this idle time
 	MaxIdleConnsPerAddress int
-	MaxBufferedBytes       int64 // of long response bodies that are held at the same time; 0 if there is no limit
+	MaxBufferedBytes       int64 // of heads, bodies and incomplete events that are held at the same time; 0 if there is no limit
 }
 
 // DefaultOptions suit backend servers in the same region.
@@ -43,9 +42,9 @@
 
 // Pool dials connections and keeps idle ones for reuse. It is safe for concurrent use.
 type Pool struct {
-	options  Options
-	dialer   net.Dialer
-	buffered atomic.Int64 // capacity of the buffers of long response bodies
+	options Options
+	dialer  net.Dialer
+	memory  memory
 
 	mu     sync.Mutex
 	idle   map[string][]*conn // by address, the last one returned to the pool at the end
@@ -56,7 +55,7 @@
 // NewPool returns an empty Pool. Connections are made from the local IP address
 // localIP, or from any if it is empty.
 func NewPool(o Options, localIP string) *Pool {
-	p := &Pool{options: o, idle: map[string][]*conn{}}
+	p := &Pool{options: o, memory: memory{limit: o.MaxBufferedBytes}, idle: map[string][]*conn{}}
 	p.dialer = net.Dialer{
 		Timeout:         o.DialTimeout,
 		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: tcpKeepAliveIdle, Interval: time.Second, Count: tcpKeepAliveProbes},
@@ -86,26 +85,19 @@
 	idleSince   time.Time     // when it was made, or last carried a request
 	idleTimeout time.Duration // of the pool, or shorter if the server announced that
 	exchanges   int           // number of completed exchanges
-	readLimit   int           // bytes that may still be read, or noReadLimit
+	headOf      *Exchange     // whose head is being read; nil at other times
 	closeOnce   sync.Once
 }
 
-// noReadLimit is a conn.readLimit without a limit.
-const noReadLimit = -1
-
-// limitReads lets at most n more bytes be read from the connection, beyond those in its buffer.
-func (c *conn) limitReads(n int) { c.readLimit = n }
-
-// Read reads from the connection for the buffer. It returns errHeadTooLong at the limit.
+// Read reads from the connection for the buffer. While a head is read, it returns an error if that takes too much memory.
 func (c *conn) Read(b []byte) (int, error) {
-	if c.readLimit == noReadLimit {
-		return c.Conn.Read(b)
+	n, err := c.Conn.Read(b)
+	if c.headOf == nil {
+		return n, err
 	}
-	if c.readLimit == 0 {
-		return 0, errHeadTooLong
+	if headErr := c.headOf.countHead(b[:n]); headErr != nil {
+		return 0, headErr
 	}
-	n, err := c.Conn.Read(b[:min(len(b), c.readLimit)])
-	c.readLimit -= n
 	return n, err
 }
 
@@ -174,7 +166,7 @@
 	p.mu.Lock()
 	p.dialed++
 	p.mu.Unlock()
-	c := &conn{Conn: netConn, address: address, readLimit: noReadLimit, idleSince: time.Now(), idleTimeout: p.options.IdleTimeout}
+	c := &conn{Conn: netConn, address: address, idleSince: time.Now(), idleTimeout: p.options.IdleTimeout}
 	c.reader = bufio.NewReaderSize(c, readBufferBytes)
 	return c, nil
 }
@@ -231,22 +223,17 @@
 	}
 }
 
-// reserve counts bytes of a body's buffer, unless that exceeds Options.MaxBufferedBytes.
-func (p *Pool) reserve(bytes int64) bool {
-	limit := p.options.MaxBufferedBytes
-	for {
-		used := p.buffered.Load()
-		if limit > 0 && used+bytes > limit {
-			return false
-		}
-		if p.buffered.CompareAndSwap(used, used+bytes) {
-			return true
-		}
-	}
+// BufferedBytes returns the memory that the responses of backend servers hold now, in bytes.
+func (p *Pool) BufferedBytes() int64 {
+	used, _ := p.memory.counts()
+	return used
 }
 
-// BufferedBytes returns the capacity of the buffers that long response bodies hold now.
-func (p *Pool) BufferedBytes() int64 { return p.buffered.Load() }
+// EndedForMemory returns how many exchanges were ended so far because of the memory that responses held.
+func (p *Pool) EndedForMemory() int {
+	_, ended := p.memory.counts()
+	return ended
+}
 
 // Counts returns how many connections were dialed and how often an idle one was reused.
 func (p *Pool) Counts() (dials, reuses int) {
