--- a/ingress/attempt.go
+++ b/ingress/attempt.go
@@ -137,25 +137,6 @@
 	return x.route.CanRepeat() || x.stream != nil && x.stream.resumable && len(x.stream.lastID) <= maxEventIDBytes && !x.versionUnknown()
 }
 
-// stopped reports whether ctx has ended because the router's time to stop has.
-func stopped(ctx context.Context) bool { return errors.Is(context.Cause(ctx), errStopping) }
-
-// contextEnded returns how a call ends after ctx was canceled because the caller
-// disconnected or the router stops, or after its deadline passed.
-func (x *call) contextEnded(ctx context.Context) *result {
-	switch {
-	case stopped(ctx) && x.mayHaveRun:
-		return &result{status: 504, cause: causeStopping}
-	case stopped(ctx):
-		return stoppingResult()
-	case !errors.Is(ctx.Err(), context.DeadlineExceeded):
-		return &result{status: 502, cause: causeLeft}
-	case x.mayHaveRun:
-		return &result{status: 504, cause: causeTimeout}
-	}
-	return &result{status: 503, cause: causeTimeout}
-}
-
 // contextResult returns placement.TimedOut if the deadline passed, and placement.Abandoned
 // if the caller disconnected.
 func (x *call) contextResult(ctx context.Context) placement.AttemptResult {
--- a/ingress/flow.go
+++ b/ingress/flow.go
@@ -4,7 +4,6 @@
 
 import (
 	"context"
-	"errors"
 	"net/http"
 	"strings"
 	"sync"
@@ -111,15 +110,6 @@
 	expectedPrefill int           // prompt tokens that the backend server was expected to prefill
 }
 
-// result is how a call ends, unless a later attempt succeeds.
-type result struct {
-	status     int
-	cause      string
-	retryAfter time.Duration // value of Retry-After, for a request that has not run
-	servers    placement.Rejections
-	share      placement.ShareState
-}
-
 // serve serves one request and reports whether the connection can be used for another.
 func (f *Flow) serve(c *conn, r *http.Request, body []byte) bool {
 	x := &call{flow: f, conn: c, http: r, body: body, arrived: time.Now()}
@@ -167,18 +157,6 @@
 	return nil
 }
 
-// defaultRetryAfter is the Retry-After of a failure that does not determine one.
-const defaultRetryAfter = 300 * time.Millisecond
-
-// finalOrRetry returns a final refusal if the configuration was recently confirmed
-// current, and otherwise a result that asks the caller to retry.
-func finalOrRetry(recent bool, v *result) *result {
-	if recent {
-		return v
-	}
-	return &result{status: 503, cause: v.cause + "-unproven", retryAfter: defaultRetryAfter}
-}
-
 // identifyCustomer finds the customer by the API key. Keys are accepted only if keysValid
 // is set, that is, if the configuration was confirmed current within KeyMaxAge, since a
 // newer configuration may have revoked them. An unknown key is refused for good only if
@@ -340,14 +318,6 @@
 	return !x.mayHaveRun && x.conn.server.mayCutOff(x.callerDeadline)
 }
 
-// stoppingRetryAfter is the Retry-After of a request that has not run since the router stops: another router takes it at once.
-const stoppingRetryAfter = 50 * time.Millisecond
-
-// stoppingResult returns how a call ends that has not run since the router stops.
-func stoppingResult() *result {
-	return &result{status: http.StatusServiceUnavailable, cause: causeStopping, retryAfter: stoppingRetryAfter}
-}
-
 // quarantined reports whether the request must not run. It is asked on arrival and again before each
 // send, since the request may have waited, or run elsewhere, meanwhile.
 func (x *call) quarantined() bool {
@@ -355,72 +325,6 @@
 	return x.hold != nil
 }
 
-// holdResult returns how a call ends whose request must not run (again).
-func (x *call) holdResult() *result {
-	if x.mayHaveRun {
-		return &result{status: 502, cause: causeQuarantined}
-	}
-	return &result{status: 503, cause: causeQuarantined, retryAfter: x.route.Timeout}
-}
-
-// refusalResult returns how a call ends that was not placed on a backend server.
-func (x *call) refusalResult(ctx context.Context, r *placement.Refusal) *result {
-	if x.lastFailure != nil && (x.mayHaveRun || r.Reason == placement.NoRetryBudget) {
-		return x.finalFailure(ctx)
-	}
-	if stopped(ctx) {
-		return x.contextEnded(ctx)
-	}
-	if ctx.Err() != nil && !x.mayHaveRun {
-		return &result{status: 503, cause: string(placement.Canceled)}
-	}
-	status := http.StatusServiceUnavailable
-	if r.Reason == placement.OverShare {
-		status = http.StatusTooManyRequests // the customer's own requests are why, not the service
-	}
-	return &result{status: status, cause: string(r.Reason), retryAfter: r.RetryAfter, servers: r.Rejections, share: r.Share}
-}
-
-// finalFailure returns the result of a call after its last failed attempt. Its status is
-// 503 only if no attempt may have run the request.
-func (x *call) finalFailure(ctx context.Context) *result {
-	v := x.lastFailure
-	switch {
-	case v == nil:
-		return &result{status: 503, cause: string(placement.NoServer), retryAfter: defaultRetryAfter}
-	case !x.mayHaveRun:
-		return &result{status: 503, cause: v.cause, retryAfter: defaultRetryAfter}
-	case errors.Is(ctx.Err(), context.DeadlineExceeded):
-		return &result{status: 504, cause: v.cause}
-	}
-	return &result{status: 502, cause: v.cause}
-}
-
-// Causes of failed attempts, as sent to callers, logged and counted.
-const (
-	causeQuarantined = "crashes-servers"
-	causeUnreachable = "unreachable"
-	causeDeclined    = "declined"
-	causeBroken      = "broken"
-	causeUnsealed    = "unsealed"
-	causeTimeout     = "timeout"
-	causeLeft        = "client-left"
-	causeStopping    = "stopping"
-	causeNoStream    = "version-unknown" // of the servers that began the stream which the caller takes up
-)
-
-// writeFailure writes an error response of the router and reports whether the connection
-// can be used for another request.
-func (x *call) writeFailure(v *result) bool {
-	if x.response.started {
-		x.logResult(x.response.status, v)
-		return false // only the missing end of the response can still show that it failed
-	}
-	x.response.writeError(v)
-	x.logResult(v.status, v)
-	return x.response.keepConn
-}
-
 // rejectRequest writes the error response to a request whose head or body is invalid or too
 // long.
 func (f *Flow) rejectRequest(c *conn, e *requestError) {
--- a/route/current.go
+++ b/route/current.go
@@ -21,11 +21,10 @@
 	confirmed   bool          // confirmedAt is set
 	peerVersion uint64        // newest version that another router had within peerMemory
 	peerAt      time.Duration // clock reading at which one had it last
-	changed     chan struct{} // closed at the next change of the table
 }
 
 // NewCurrentTable returns a CurrentTable that holds no Table yet.
-func NewCurrentTable() *CurrentTable { return &CurrentTable{changed: make(chan struct{})} }
+func NewCurrentTable() *CurrentTable { return &CurrentTable{} }
 
 // Table returns the Table, or nil if there is none yet.
 func (c *CurrentTable) Table() *Table {
@@ -43,8 +42,6 @@
 		return false
 	}
 	c.table, c.confirmed = t, false
-	close(c.changed)
-	c.changed = make(chan struct{})
 	return true
 }
 
@@ -82,11 +79,3 @@
 	defer c.mu.Unlock()
 	return c.table, now - c.confirmedAt, c.confirmed
 }
-
-// Changed returns a channel that is closed when another Table becomes the current one.
-// Nothing calls it.
-func (c *CurrentTable) Changed() <-chan struct{} {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.changed
-}
