--- a/ingress/migration.go
+++ b/ingress/migration.go
@@ -125,9 +125,9 @@
 	return !x.declined(ex) && ex.Status() == 200
 }
 
-// provesNoEnd reports whether err ended an answer in a way that a server which stopped it would end it too: it closes the
+// endsAsIfStopped reports whether an answer ended with err as it would if its server had stopped the request, which closes the
 // connection. Only an answer with a length or with chunks can still say that it is complete.
-func provesNoEnd(ex *upstream.Exchange, err error) bool {
+func endsAsIfStopped(ex *upstream.Exchange, err error) bool {
 	return upstream.ClosedByServer(err) && (ex.EndsWithConnection() || !errors.Is(err, io.EOF))
 }
 
@@ -145,7 +145,7 @@
 			return true, &result{status: 502, cause: causeLeft}
 		}
 		x.logSourceEnded(g, ex, err)
-		if !errors.Is(err, io.EOF) || len(s.partial) > 0 || provesNoEnd(ex, err) {
+		if !errors.Is(err, io.EOF) || len(s.partial) > 0 || endsAsIfStopped(ex, err) {
 			return false, nil
 		}
 		_, v := x.finishStream(g, ex, true)
--- a/ingress/stream.go
+++ b/ingress/stream.go
@@ -73,7 +73,7 @@
 		case errors.Is(err, errCallerLeft):
 			x.endGrant(g, placement.Abandoned)
 			return false, &result{status: 502, cause: causeLeft}
-		case s.mayBeStopped && provesNoEnd(ex, err):
+		case s.mayBeStopped && endsAsIfStopped(ex, err):
 			return x.streamError(ctx, g, errMayBeStopped)
 		case errors.Is(err, io.EOF):
 			return x.finishStream(g, ex, s.events > eventsBefore)
--- a/upstream/exchange.go
+++ b/upstream/exchange.go
@@ -113,8 +113,8 @@
 
 // readHead reads the head of the response. It skips interim responses and late
 // responses to earlier requests, and fails if there are more than maxSkippedResponses, or if a
-// head is longer than maxResponseHeadBytes or does not fit beside what other exchanges hold. A response without an ID may be to any request that the connection carried,
-// so only that on a new connection is the response to this one.
+// head is longer than maxResponseHeadBytes or does not fit beside what other exchanges hold. A response without an ID may be
+// to any request that the connection carried, so only that on a new connection is the response to this one.
 func (x *Exchange) readHead(r *Request) error {
 	for range maxSkippedResponses + 1 {
 		resp, err := x.readOneHead(r.Method)
@@ -234,10 +234,11 @@
 	}
 	for {
 		if len(b) == cap(b) {
-			if err := x.HoldBody(2 * int64(cap(b))); err != nil {
+			capacity := nextCapacity(int64(cap(b)), x.response.ContentLength)
+			if err := x.HoldBody(capacity); err != nil {
 				return nil, err
 			}
-			b = append(make([]byte, 0, 2*cap(b)), b...)
+			b = append(make([]byte, 0, capacity), b...)
 		}
 		n, err := x.Read(b[len(b):cap(b)])
 		b = b[:len(b)+n]
@@ -262,6 +263,15 @@
 	return min(length+1, firstBodyBytes)
 }
 
+// nextCapacity returns the capacity of the buffer for a body of a length, or -1 if that is not known, after a full one. One byte
+// more than the length leaves room to read its end.
+func nextCapacity(capacity, length int64) int64 {
+	if length >= capacity {
+		return min(2*capacity, length+1)
+	}
+	return 2 * capacity
+}
+
 // Close ends the exchange. It keeps the connection for reuse if the response was read
 // completely and no further bytes were received. Otherwise it closes the connection,
 // which cancels the request.
