ingress: the end of an event is searched in what is new of it

What could happen: for each 4 KiB of a long event, all of it that had come before was searched again for its end, so that a server which sends long events cost the router time that grows with the square of their length. Seen while the tests of stalled streams were traced: under the race detector 396 of 500 streams had reached their server when 500 had been sent.

Why it works: what is kept of an event has no end in it, so only its last byte and what is new can have one. The tests of streams pass; measured only by those tests.

--- a/ingress/stream.go
+++ b/ingress/stream.go
@@ -172,11 +172,13 @@
 func (x *call) forwardEvents(ex *upstream.Exchange, b []byte) error {
 	s := x.stream
 	if s.wholeEvents {
+		searched := max(0, len(s.partial)-1) // no event ends before
 		s.partial = append(s.partial, b...)
-		end := bytes.LastIndex(s.partial, []byte("\n\n"))
+		end := bytes.LastIndex(s.partial[searched:], []byte("\n\n"))
 		if end < 0 {
 			return nil
 		}
+		end += searched
 		b = s.unsentEvents(s.partial[:end+2])
 		defer func() { s.partial = append(s.partial[:0], s.partial[end+2:]...) }()
 	}
