--- a/ingress/flow.go
+++ b/ingress/flow.go
@@ -86,7 +86,9 @@
 	customer  *route.Customer
 	configAge time.Duration // since the configuration was last confirmed current
 
+	cancel           context.CancelFunc
 	watchClose       func()        // from its call on, the request is canceled if the caller disconnects
+	unwatchStop      func() bool   // while the request waits, ends the watch for a shutdown; returns false if that has come
 	readTime         time.Duration // from conn.requestBegan until the request was read
 	arrived          time.Time     // when the request was read
 	callerDeadline   time.Time     // until when the caller and the route allow the request to take
@@ -122,6 +124,7 @@
 	}
 	ctx, cancel := context.WithDeadline(c.server.requests, x.deadline)
 	defer cancel()
+	x.cancel = cancel
 	x.watchClose = sync.OnceFunc(func() { c.watchClose(cancel) })
 	v := x.run(ctx)
 	c.watcher.stop()
@@ -257,7 +260,7 @@
 		return stoppingResult()
 	}
 	f.Placer.RecordArrival(x.arrived, x.placementRequest)
-	x.placementRequest.OnWait = x.watchClose
+	x.placementRequest.OnWait = x.beginWait
 	if x.takesUp() {
 		if v := x.findVersion(ctx); v != nil {
 			return v
@@ -293,25 +296,41 @@
 // admit waits until the request is placed on a backend server, or returns how the call ends if it is not. Its wait ends when a
 // shutdown has come so far that the request may not be sent any more.
 func (x *call) admit(ctx context.Context) (*placement.Grant, *result) {
-	if !x.mayHaveRun {
-		var cancel context.CancelCauseFunc
-		ctx, cancel = context.WithCancelCause(ctx)
-		defer cancel(nil)
-		server, deadline := x.conn.server, x.callerDeadline
-		stop := context.AfterFunc(server.early, func() {
-			if server.mayCutOff(deadline) {
-				cancel(errStopping)
-			}
-		})
-		defer stop()
-	}
 	grant, refusal := x.flow.Placer.Admit(ctx, x.placementRequest)
+	if x.waitEndedByStop() {
+		if grant != nil {
+			grant.EndUnsent(time.Now())
+		}
+		return nil, stoppingResult()
+	}
 	if refusal != nil {
 		return nil, x.refusalResult(ctx, refusal)
 	}
 	return grant, nil
 }
 
+// beginWait is called when the request begins to wait for a server. Most do not, and in a flood those that are refused at once must
+// cost almost nothing.
+func (x *call) beginWait() {
+	x.watchClose()
+	if x.mayHaveRun {
+		return
+	}
+	server, deadline := x.conn.server, x.callerDeadline
+	x.unwatchStop = context.AfterFunc(server.early, func() {
+		if server.mayCutOff(deadline) {
+			x.cancel()
+		}
+	})
+}
+
+// waitEndedByStop ends what beginWait began, and reports whether the shutdown has ended the wait, and with it the call.
+func (x *call) waitEndedByStop() bool {
+	unwatch := x.unwatchStop
+	x.unwatchStop = nil
+	return unwatch != nil && !unwatch() && x.mayOutlastStop()
+}
+
 // mayOutlastStop reports whether the request must not be sent, since the router's shutdown may cut it off. One that may have
 // run already is sent again all the same: its caller cannot be told that it has not run.
 func (x *call) mayOutlastStop() bool {
