--- a/ingress/attempt.go
+++ b/ingress/attempt.go
@@ -50,14 +50,29 @@
 	return x.forwardResponse(ctx, g, ex)
 }
 
-// send sends the request to the backend server of a grant, unless the caller has left or the request must
-// not run any more by the time a connection is ready.
+// errRevoked is the error of a request that was not sent, since its backend server was to get no more requests by the time a
+// connection was ready.
+var errRevoked = errors.New("request was not sent, since the backend server is to get no more requests")
+
+// send sends the request to the backend server of a grant, unless the caller has left, the server is to get no more requests
+// or the request must not run any more by the time a connection is ready. On a busy VM that may be seconds after the grant.
 func (x *call) send(ctx context.Context, g *placement.Grant) (*upstream.Exchange, error) {
 	r := x.buildRequest(g)
-	r.Abandoned = func() bool { return x.quarantined() || x.mayOutlastStop() || x.conn.closedByCaller() } // the connection last: quarantined may wait for a lock
+	revoked := false
+	r.Abandoned = func() bool {
+		if x.quarantined() || x.mayOutlastStop() {
+			return true
+		}
+		revoked = g.Revoked(time.Now())
+		return revoked || x.conn.closedByCaller() // the connection last: the checks before may wait for locks
+	}
 	r.NewConnection = slices.Contains(x.sentTo, g.ID())
 	x.sentTo = append(x.sentTo, g.ID())
 	ex, err := x.flow.Upstream.Send(ctx, g.Address(), r)
+	if revoked {
+		x.logRevoked(g)
+		return nil, errRevoked
+	}
 	if err == nil && ex.Status() != http.StatusMisdirectedRequest { // that one would be from another server
 		c := g.RecordStatement(time.Now(), x.flow.Headers.statementOf(ex.Status(), ex.Header()))
 		x.flow.logStatement(x.meta.id, g, c)
@@ -76,7 +91,8 @@
 	var dial *upstream.DialError
 	var broken *upstream.ResponseError // may wrap a DialError when a migrated request could not continue, though the request has run
 	abandoned := errors.Is(err, upstream.ErrAbandoned)
-	unsent := abandoned || !errors.As(err, &broken) && errors.As(err, &dial)
+	revoked := errors.Is(err, errRevoked)
+	unsent := abandoned || revoked || !errors.As(err, &broken) && errors.As(err, &dial)
 	if !unsent {
 		x.mayHaveRun = true
 	}
@@ -84,6 +100,9 @@
 	case ctx.Err() != nil && unsent:
 		g.EndUnsent(time.Now())
 		return false, x.contextEnded(ctx)
+	case revoked:
+		g.EndUnsent(time.Now())
+		return true, &result{status: 503, cause: causeRevoked, retryAfter: defaultRetryAfter}
 	case abandoned && x.hold != nil:
 		g.EndUnsent(time.Now())
 		return false, x.holdResult()
--- a/ingress/flow.go
+++ b/ingress/flow.go
@@ -245,7 +245,7 @@
 	return h.Sum64()
 }
 
-// maxUnreachable is how many unreachable backend servers are tried before a call fails.
+// maxUnreachable is how many backend servers that are unreachable, or get no more requests by then, are tried before a call fails.
 // They do not count towards the route's MaxAttempts.
 const maxUnreachable = 3
 
@@ -284,7 +284,12 @@
 			return v
 		}
 		x.lastFailure = v
-		if v.cause == causeUnreachable {
+		switch v.cause {
+		case causeRevoked: // nothing was sent, so that the next send is no second one
+			x.placementRequest.Tried = x.placementRequest.Tried[:len(x.placementRequest.Tried)-1]
+			unreachable++
+			continue
+		case causeUnreachable:
 			unreachable++
 			continue
 		}
--- a/ingress/log.go
+++ b/ingress/log.go
@@ -20,6 +20,7 @@
 	scope     tally.Scope
 	attempts  tally.Counter // sends to a backend server
 	lateDials tally.Counter // connections that were not made in time while this router was late itself
+	revoked   tally.Counter // assignments to backend servers that were to get no more requests before the request was sent
 	shed      tally.Counter // requests rejected or dropped before they were served
 	readTime  tally.Histogram
 	duration  tally.Histogram
@@ -27,7 +28,7 @@
 
 func newFlowMetrics(s tally.Scope) flowMetrics {
 	buckets := tally.MustMakeExponentialDurationBuckets(time.Millisecond, 2, 15)
-	return flowMetrics{scope: s, attempts: s.Counter("attempts"), lateDials: s.Counter("dials_late"), shed: s.Counter("requests_shed"), readTime: s.Histogram("read_seconds", buckets), duration: s.Histogram("answer_seconds", buckets)}
+	return flowMetrics{scope: s, attempts: s.Counter("attempts"), lateDials: s.Counter("dials_late"), revoked: s.Counter("assignments_revoked"), shed: s.Counter("requests_shed"), readTime: s.Histogram("read_seconds", buckets), duration: s.Histogram("answer_seconds", buckets)}
 }
 
 // requestRejected counts a request whose head or body was rejected.
@@ -111,6 +112,12 @@
 		Bool("chunked", ex.Chunked()).Bool("ends_with_connection", ex.EndsWithConnection()).Err(err).Msg("migration-source-ended")
 }
 
+// logRevoked logs that a request was not sent, since its backend server was to get no more requests by then.
+func (x *call) logRevoked(g *placement.Grant) {
+	x.flow.metrics.revoked.Inc(1)
+	x.flow.Logger.Info().Str("request", x.meta.id).Str("server", g.ID()).Dur("since_assigned_ms", time.Since(g.SentAt())).Msg("server-revoked")
+}
+
 // maxLoggedURIBytes is how much of a request's URI is logged.
 const maxLoggedURIBytes = 160
 
--- a/ingress/result.go
+++ b/ingress/result.go
@@ -86,6 +86,7 @@
 const (
 	causeQuarantined = "crashes-servers"
 	causeUnreachable = "unreachable"
+	causeRevoked     = "server-revoked" // before the request was sent
 	causeDeclined    = "declined"
 	causeBroken      = "broken"
 	causeUnsealed    = "unsealed"
--- a/placement/grant.go
+++ b/placement/grant.go
@@ -62,6 +62,19 @@
 	return g.version
 }
 
+// Revoked reports whether the request must not be sent any more: since it was assigned, the backend server has begun to
+// leave, has restarted or is not listed, or its availability zone was taken out of service. A request that runs at the
+// server already may go on there.
+func (g *Grant) Revoked(now time.Time) bool {
+	p := g.placement
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if g.firstEventSeen && !g.migrated {
+		return false
+	}
+	return g.server.StartedMs != g.startedMs || !g.server.stays(now)
+}
+
 // SentAt returns when the request was assigned to the backend server.
 func (g *Grant) SentAt() time.Time { return g.sentAt }
 
