overload: a router that must reject most of its new connections asks the load balancer for none

The balancer chooses a router by the caller, so the flood came to one router while the zone's others, two of 0.8 of a core among them, had time to spare.

Change: package overload counts connections that are accepted and rejected unread.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -251,7 +251,7 @@
 		c.Error("the balancer asks at "+platform.ReadyPath, http.StatusNotFound)
 		return
 	}
-	if !g.Ready() {
+	if !g.Ready() || !g.ingress.WantsConnections(int(g.zoneRouters.Load())) {
 		c.SetStatusCode(http.StatusServiceUnavailable)
 	}
 }
--- a/gateway/revoked_test.go
+++ b/gateway/revoked_test.go
@@ -41,7 +41,7 @@
 func (b *beforeSend) RecordCompleted(time.Time, quarantine.Identity) {}
 
 // newFlowServer serves callers with a Flow over one configuration that has the services.
-func newFlowServer(t *testing.T, placer *placement.Placement, q ingress.Quarantine, table *route.Table) *ingress.Server {
+func newFlowServer(t testing.TB, placer *placement.Placement, q ingress.Quarantine, table *route.Table) *ingress.Server {
 	t.Helper()
 	current := route.NewCurrentTable()
 	clock := func() time.Duration { return time.Second }
--- a/ingress/admission.go
+++ b/ingress/admission.go
@@ -9,6 +9,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"golang.org/x/sys/unix"
 )
 
 // admission counts the connections of callers, decides which to accept, and pools their buffers.
@@ -76,9 +78,41 @@
 // overloadedResponse is sent on a connection that is rejected before its request is read.
 const overloadedResponse = "HTTP/1.1 503 Service Unavailable\r\nConnection: close\r\nRetry-After: 0.2\r\nContent-Length: 0\r\n\r\n"
 
+// rejection is overloadedResponse as bytes, which are not changed.
+var rejection = []byte(overloadedResponse)
+
 // reject writes overloadedResponse and closes the connection. It returns the write error.
 func (a *admission) reject(nc net.Conn) error {
 	_, err := io.WriteString(nc, overloadedResponse)
 	nc.Close()
 	return err
 }
+
+// rejectsPerTurn is how many connections are rejected before the requests that are being served
+// get the processor. A flood would otherwise delay them, and the news that callers have left.
+const rejectsPerTurn = 128
+
+// rejectWaiting rejects connections that wait to be accepted, while none may be accepted, and returns how many. In a flood most of
+// a small router's processor time goes into this, so that it makes three system calls for each and registers none with the
+// runtime's poller.
+func (a *admission) rejectWaiting(l net.Listener) (rejected int) {
+	t, ok := l.(*net.TCPListener)
+	if !ok {
+		return 0
+	}
+	raw, err := t.SyscallConn()
+	if err != nil {
+		return 0
+	}
+	raw.Control(func(listener uintptr) {
+		for ; rejected < rejectsPerTurn && !a.admits(); rejected++ {
+			fd, _, err := unix.Accept4(int(listener), unix.SOCK_NONBLOCK|unix.SOCK_CLOEXEC)
+			if err != nil {
+				return // none waits any more
+			}
+			unix.Write(fd, rejection) // fits into the buffer of a new connection
+			unix.Close(fd)
+		}
+	})
+	return rejected
+}
--- a/ingress/log.go
+++ b/ingress/log.go
@@ -20,6 +20,7 @@
 	scope     tally.Scope
 	attempts  tally.Counter // sends to a backend server
 	lateDials tally.Counter // connections that were not made in time while this router was late itself
+	pauses    tally.Counter // times at which the router began to ask for no new connections
 	revoked   tally.Counter // assignments to backend servers that were to get no more requests before the request was sent
 	shed      tally.Counter // requests rejected or dropped before they were served
 	readTime  tally.Histogram
@@ -28,7 +29,7 @@
 
 func newFlowMetrics(s tally.Scope) flowMetrics {
 	buckets := tally.MustMakeExponentialDurationBuckets(time.Millisecond, 2, 15)
-	return flowMetrics{scope: s, attempts: s.Counter("attempts"), lateDials: s.Counter("dials_late"), revoked: s.Counter("assignments_revoked"), shed: s.Counter("requests_shed"), readTime: s.Histogram("read_seconds", buckets), duration: s.Histogram("answer_seconds", buckets)}
+	return flowMetrics{scope: s, attempts: s.Counter("attempts"), lateDials: s.Counter("dials_late"), revoked: s.Counter("assignments_revoked"), shed: s.Counter("requests_shed"), pauses: s.Counter("connection_pauses"), readTime: s.Histogram("read_seconds", buckets), duration: s.Histogram("answer_seconds", buckets)}
 }
 
 // requestRejected counts a request whose head or body was rejected.
--- a/ingress/server.go
+++ b/ingress/server.go
@@ -14,6 +14,8 @@
 	"time"
 
 	"github.com/rs/zerolog"
+
+	"bulrushtally/overload"
 )
 
 // limits holds the limits on the size of a request and on the time to send it.
@@ -47,6 +49,7 @@
 	endEarly  context.CancelCauseFunc
 	inFlight  atomic.Int64
 	admission admission
+	overload  overload.Detector
 
 	mu        sync.Mutex
 	conns     map[*conn]bool // open connections; the value tells whether a request is in flight
@@ -148,12 +151,7 @@
 // acceptRetryDelay is the delay after a failed accept.
 const acceptRetryDelay = 5 * time.Millisecond
 
-// rejectsPerTurn is how many connections are rejected before the requests that are being served
-// get the processor. A flood would otherwise delay them, and the news that callers have left.
-const rejectsPerTurn = 128
-
 func (s *Server) accept() {
-	rejected := 0
 	for {
 		nc, err := s.listener.Accept()
 		if errors.Is(err, net.ErrClosed) {
@@ -165,12 +163,12 @@
 			continue
 		}
 		if !s.admission.admits() {
-			s.countShed(s.admission.reject(nc))
-			if rejected++; rejected%rejectsPerTurn == 0 {
-				runtime.Gosched()
-			}
+			err := s.admission.reject(nc)
+			s.countShed(1+s.admission.rejectWaiting(s.listener), err)
+			runtime.Gosched()
 			continue
 		}
+		s.recordConnections(1, 0)
 		s.admission.connOpened()
 		go s.serve(nc)
 	}
@@ -200,12 +198,28 @@
 // shedLogInterval is the least time between two lines that tell how many requests were shed.
 const shedLogInterval = time.Second
 
-// countShed counts a request that was dropped before it was served, and logs err if the
+// recordConnections counts new connections by whether they were rejected unread, and logs that the router asks the load
+// balancer for no more if it begins to.
+func (s *Server) recordConnections(accepted, rejected int) {
+	if s.overload.Record(time.Now(), accepted, rejected) {
+		s.flow.metrics.pauses.Inc(1)
+		s.logger.Warn().Int64("waiting_unread", s.admission.awaitingFirst.Load()).Int64("open", s.admission.open.Load()).Msg("overloaded-by-connections")
+	}
+}
+
+// WantsConnections reports whether the load balancer should send new connections to this router, one of a number of reachable
+// routers of its zone.
+func (s *Server) WantsConnections(zoneRouters int) bool {
+	return s.overload.WantsConnections(time.Now(), zoneRouters)
+}
+
+// countShed counts requests that were dropped before they were served, and logs err if a
 // caller got no response.
-func (s *Server) countShed(err error) {
-	s.flow.metrics.shed.Inc(1)
+func (s *Server) countShed(requests int, err error) {
+	s.flow.metrics.shed.Inc(int64(requests))
+	s.recordConnections(0, requests)
 	s.mu.Lock()
-	s.shed++
+	s.shed += requests
 	shed, since, now := s.shed, s.shedSince, time.Now()
 	due := now.Sub(since) >= shedLogInterval
 	if due {
@@ -258,7 +272,7 @@
 	stale := c.awaitingFirst && time.Since(c.requestBegan) > staleAfter
 	s.admission.firstRequestEnded(c)
 	if stale && c.closedByCaller() {
-		s.countShed(errLeftBeforeServed)
+		s.countShed(1, errLeftBeforeServed)
 		return false
 	}
 	s.inFlight.Add(1)
