Prefill servers only where they pay, decided from the engine and the requests that arrive

Cause: a constant 0.52 of the model servers prefilled for the others. On two deployments with 12 and 16 slots callers were served better without; on a third with 16 slots, and on those with 64, with it.

Change: package roles (pure) compares the load and the capacity of the pool with prefill servers to those without, and the time of a migration to the event gap that callers allow. It decides between 0.52 and none, with hysteresis, at most once a second. The link figures kv_bytes and link_mbps of a service's engine are decoded; where they are missing or invalid, the pool is split as before. The time of a token is measured on decode servers. A request whose KV cache takes longer to copy than its event gap stays where it is. Each change is logged (roles-changed) with what decided it; the gauge services_without_prefill_servers counts such services. docs/design/roles.md has the rule, the figures and the alternatives.

Tests: the table of the seven deployments; bursts, quiet times and a load around a limit change the roles once at most; 60 routers with different inputs agree; no change without evidence; link figures that are missing or invalid. placement, roles, platform and route pass, also with the race detector; the tests of gateway were not run for this commit.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -334,9 +334,10 @@
 }
 
 // clean periodically closes expired connections to backend servers, and all idle ones when the
-// context ends. It also measures how many backend servers name a limit, and what their responses hold.
+// context ends. It also measures how many backend servers name a limit, what their responses
+// hold, and which roles model servers have.
 func (g *Gateway) clean(ctx context.Context) error {
-	limited := g.metrics.Gauge("limited_servers")
+	limited, unsplit := g.metrics.Gauge("limited_servers"), g.metrics.Gauge("services_without_prefill_servers")
 	held, ended := g.metrics.Gauge("response_bytes_held"), g.metrics.Gauge("exchanges_ended_for_memory")
 	t := time.NewTicker(closeExpiredPeriod)
 	defer t.Stop()
@@ -348,6 +349,8 @@
 		case now := <-t.C:
 			g.upstream.CloseExpired(now)
 			limited.Update(float64(g.placer.LimitedServers()))
+			unsplit.Update(float64(g.placer.ServicesWithoutPrefillServers()))
+			g.logRoleChanges()
 			held.Update(float64(g.upstream.BufferedBytes()))
 			ended.Update(float64(g.upstream.EndedForMemory()))
 		}
--- a/placement/grant.go
+++ b/placement/grant.go
@@ -144,6 +144,7 @@
 	switch r {
 	case Done:
 		s.recordResponse(now)
+		g.observeTokenTime(now)
 		if g.request.PromptTokens > 0 && !g.late {
 			s.pool.lateRate.add(false)
 		}
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -132,6 +132,7 @@
 	shares          *shares
 	peers           map[string]*peerState // by router
 	availableAt     time.Time             // last update of shares.available
+	roleChanges     []RoleChange          // that RoleChanges has not returned yet
 }
 
 // New returns a Placement without services and backend servers.
@@ -290,11 +291,15 @@
 func (p *Placement) RecordArrival(now time.Time, req *Request) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if pl := p.pools[req.Service]; pl != nil {
+	pl := p.pools[req.Service]
+	if pl != nil {
 		pl.retries.recordRequest(now, p.limits.RetryWindow)
 	}
 	if req.PromptTokens > 0 {
 		p.shares.customer(req.Customer).demand.add(p.shares.bucket(now), req.cost())
+		if pl != nil {
+			pl.recordArrival(now, req)
+		}
 	}
 }
 
--- a/placement/pool.go
+++ b/placement/pool.go
@@ -8,6 +8,7 @@
 	"math/rand/v2"
 	"time"
 
+	"bulrushtally/roles"
 	"bulrushtally/route"
 )
 
@@ -71,7 +72,11 @@
 	rolesAssignedAt   time.Time
 	idleSpareFraction float64            // fraction of the spare capacity that customers far above their fair share may use too, because servers are idle
 	kvHolders         map[uint64]*server // by prefix: server other than the owner that held it last
-	admitted          map[string]bool    // versions at which streams may begin
+	roles             roles.Decider
+	mix               roles.Mix
+	arrived           slidingSum // cost of the requests from callers that arrived at this router
+	tokenTime         tokenTime
+	admitted          map[string]bool // versions at which streams may begin
 }
 
 // newPool returns a pool without servers.
--- a/placement/roles.go
+++ b/placement/roles.go
@@ -5,9 +5,10 @@
 
 import (
 	"cmp"
-	"math"
 	"slices"
 	"time"
+
+	"bulrushtally/roles"
 )
 
 // Limits for pools whose model servers can migrate running requests. Prompts with a
@@ -15,8 +16,6 @@
 // request migrates to a decode server with its first event. So the shared segments of
 // long prompts stay in the KV caches of few servers.
 const (
-	prefillServerFraction      = 0.52                  // fraction of the usable servers that prefill
-	minServersToSplit          = 3                     // with fewer, all servers prefill and decode
 	longPrefillFraction        = 0.06                  // fraction of the longest allowed event gap; a prompt with a longer prefill goes to a prefill server
 	shortOutputPrefillFraction = 0.035                 // the same for requests with a short output
 	shortOutputTokens          = 64                    // output length up to which event gaps do not matter and the request is not migrated
@@ -43,7 +42,8 @@
 		}
 	}
 	p.idleSpareFraction = p.computeIdleSpareFraction(now, usable)
-	p.disaggregated = p.service.Migrates && len(usable) >= minServersToSplit
+	p.decideRoles(now, usable)
+	p.disaggregated = p.service.Migrates && len(usable) >= roles.MinServers && p.roles.Split()
 	if !p.disaggregated {
 		return
 	}
@@ -55,18 +55,13 @@
 		for n < len(usable) && usable[n].Version == usable[0].Version {
 			n++
 		}
-		for _, s := range usable[:prefillServers(n)] {
+		for _, s := range usable[:roles.PrefillServers(n)] {
 			s.prefillServer = true
 		}
 		usable = usable[n:]
 	}
 }
 
-// prefillServers returns how many of n servers of one version prefill. At least one decodes.
-func prefillServers(n int) int {
-	return min(n-1, int(math.Ceil(prefillServerFraction*float64(n))))
-}
-
 // Mean utilization of the model servers at which idleSpareFraction begins to fall from
 // maxIdleSpareFraction, and at which it is 0.
 const (
@@ -111,6 +106,9 @@
 	if !pl.disaggregated || !g.server.prefillServer || g.request.OutputTokens <= shortOutputTokens {
 		return nil
 	}
+	if pl.engine().MigrationMs(g.request.PromptTokens) > milliseconds(cmp.Or(g.request.MaxEventGap, defaultEventGap)) {
+		return nil // the migration alone would exceed the event gap
+	}
 	owner := pl.owner(now, g.request.Segments, false, g.server.Version)
 	var best *server
 	lowestLoad := 0.0
--- /dev/null
+++ b/roles/decider.go
@@ -0,0 +1,105 @@
+package roles
+
+// This file defines Decider, which decides with hysteresis whether a pool has prefill servers.
+
+import "time"
+
+// A pool is split into prefill and decode servers unless one of two things holds. Each limit has a second value from
+// which the pool is split again; in between, it stays as it is.
+//
+// First, split it cannot serve what arrives, and without a split it would serve clearly more. Both have to hold:
+// with room, the split protects event gaps at no loss, and where it costs little capacity, a flood does
+// not change the roles. The load that routers see includes what callers send again after a refusal, so the limit
+// on it is far above 1. docs/design/roles.md has the loads of the deployments that were measured.
+//
+// Second, the migration of a stream takes so much of the event gap that callers allow that it costs them what the split
+// saves: half of the gap is left for the decode step and for the way of the event.
+const (
+	maxSplitLoad, splitLoadToReturn                 = 1.5, 1.15
+	minSplitCapacity, splitCapacityToReturn         = 0.83, 0.90 // relative to the pool without prefill servers
+	maxMigrationFraction, migrationFractionToReturn = 0.5, 0.35  // of the event gap
+)
+
+// calmTime is how long the load must stay below splitLoadToReturn before the pool is split again for it. The load follows the time of
+// day, and servers that change roles hold segments that others need.
+const calmTime = 2 * time.Minute
+
+// Limits on how fast a decision follows its inputs.
+const (
+	interval    = time.Second      // between two assessments
+	minRequests = 100              // seen before the first one; the lengths of fewer say too little
+	minHold     = 30 * time.Second // from a change of the roles to the next
+	rateGain    = 0.05             // weight of a new rate of arrivals
+)
+
+// Inputs is what a decision depends on.
+type Inputs struct {
+	Servers       int // usable ones
+	Engine        Engine
+	Mix           *Mix
+	CostPerSecond float64 // of the requests that arrive at all routers; routers agree on it more closely than on their number
+}
+
+// Decision is the outcome of a change with what decided it.
+type Decision struct {
+	Split             bool // some servers prefill for the others
+	Servers           int
+	Requests          float64 // in the mean work
+	RequestsPerSecond float64 // smoothed
+	Engine            Engine
+	Work              Work
+	Assessment        Assessment
+}
+
+// Decider decides whether a pool has prefill servers. Its zero value has some, until there is evidence.
+type Decider struct {
+	together   bool
+	assessedAt time.Time
+	changedAt  time.Time
+	busyAt     time.Time // when the load was last too high to split the pool again
+	rates      int       // that were smoothed
+	rate       float64
+}
+
+// Due reports whether it is time for the next assessment.
+func (d *Decider) Due(now time.Time) bool { return now.Sub(d.assessedAt) >= interval }
+
+// Split reports whether some servers prefill for the others.
+func (d *Decider) Split() bool { return !d.together }
+
+// Update assesses the inputs if an assessment is due. It reports whether the decision changed, with what decided it. If
+// figures of the engine are unknown, the decision stays as it is.
+func (d *Decider) Update(now time.Time, in Inputs) (made Decision, changed bool) {
+	if !d.Due(now) {
+		return Decision{}, false
+	}
+	d.assessedAt = now
+	if in.Servers < MinServers || !in.Engine.Complete() || in.Mix.Requests() < minRequests {
+		return Decision{}, false
+	}
+	d.rates++
+	d.rate += max(rateGain, 1/float64(d.rates)) * (in.CostPerSecond - d.rate)
+	if !d.changedAt.IsZero() && now.Sub(d.changedAt) < minHold {
+		return Decision{}, false
+	}
+	work := in.Mix.Mean()
+	perSecond := d.rate / max(1, work.Cost)
+	a := Assess(in.Servers, in.Engine, work, perSecond)
+	if d.together != d.wantsTogether(now, a) {
+		d.together, d.changedAt = !d.together, now
+		return Decision{!d.together, in.Servers, in.Mix.Requests(), perSecond, in.Engine, work, a}, true
+	}
+	return Decision{}, false
+}
+
+// wantsTogether reports whether no server should prefill for others, by the limits that hold in the present state.
+func (d *Decider) wantsTogether(now time.Time, a Assessment) bool {
+	if a.Split > splitLoadToReturn {
+		d.busyAt = now
+	}
+	if !d.together {
+		return a.Split > maxSplitLoad && a.Capacity() < minSplitCapacity || a.MigrationMs > maxMigrationFraction*a.EventGapMs
+	}
+	calm := now.Sub(d.busyAt) >= calmTime
+	return !calm && a.Capacity() < splitCapacityToReturn || a.MigrationMs > migrationFractionToReturn*a.EventGapMs
+}
--- a/route/table.go
+++ b/route/table.go
@@ -52,6 +52,9 @@
 	Slots         int           // concurrent requests of one backend server, 0 if only the backend servers report it
 	KVCapacity    int           // capacity of one model server's KV cache in tokens, 0 if the service does not serve models
 	Migrates      bool          // a running request can be migrated between the backend servers
+
+	KVBytesPerToken int     // size of the KV cache of a token, 0 if unknown
+	LinkMbps        float64 // rate of a model server's link to the others, in megabits per second; 0 if unknown
 }
 
 // ServesModels reports whether the backend servers serve models.
