--- a/placement/placement_test.go
+++ b/placement/placement_test.go
@@ -248,7 +248,7 @@
 }
 
 func BenchmarkAdmit(b *testing.B) {
-	for _, size := range []struct{ customers, servers int }{{16, 9}, {320, 90}} {
+	for _, size := range []struct{ customers, servers int }{{16, 9}, {30, 140}, {320, 90}} {
 		b.Run(fmt.Sprintf("%d-customers-%d-servers", size.customers, size.servers), func(b *testing.B) {
 			p := newPlacement(modelServices(true), 6, size.servers)
 			ctx := context.Background()
