The time of a token is a median, and the assessment of the roles is logged once a minute

Cause: a mean over streams takes waits for a slot, for a migration or for the router's processor as decode time. And where the roles stay, no line said how near the limits they are.

Change: the median over streams, less the expected migration and the wait for a slot that routers have filled beyond the server's. The line roles-kept comes with the first assessment and then once a minute.

Tests: as before; roles, the tests of placement that concern roles (with the race detector) and the documents' checks pass.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -350,7 +350,7 @@
 			g.upstream.CloseExpired(now)
 			limited.Update(float64(g.placer.LimitedServers()))
 			unsplit.Update(float64(g.placer.ServicesWithoutPrefillServers()))
-			g.logRoleChanges()
+			g.logRoles()
 			held.Update(float64(g.upstream.BufferedBytes()))
 			ended.Update(float64(g.upstream.EndedForMemory()))
 		}
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -132,7 +132,7 @@
 	shares          *shares
 	peers           map[string]*peerState // by router
 	availableAt     time.Time             // last update of shares.available
-	roleChanges     []RoleChange          // that RoleChanges has not returned yet
+	roleDecisions   []RoleDecision        // that RoleDecisions has not returned yet
 }
 
 // New returns a Placement without services and backend servers.
--- a/placement/rolechange.go
+++ b/placement/rolechange.go
@@ -1,7 +1,7 @@
 package placement
 
 // This file defines what a pool knows for the decision whether some of its servers prefill
-// for the others, and the record of the changes.
+// for the others, and the record of the decisions.
 
 import (
 	"cmp"
@@ -10,53 +10,64 @@
 	"bulrushtally/roles"
 )
 
-// tokenTime estimates the time between two tokens of a stream that no prefill delays; its zero value has no estimate.
+// tokenTime estimates the time between two tokens of a stream that no prefill delays, as the median over streams: a few
+// that wait for other reasons do not count. Its zero value has no estimate.
 type tokenTime struct {
-	ms, tokens float64 // sums over streams, the older ones at their lower weight
+	ms      float64
+	streams float64
 }
 
 // Limits on the estimate of a tokenTime.
 const (
-	tokenTimeDecay     = 0.99 // factor on the weight of older streams at each new one
+	minTokenTimeStep   = 0.01 // least relative step of the estimate toward a stream that lies above or below it
+	firstTokenTimeStep = 0.5  // step toward the second stream; it falls with the number of streams
 	minTokenMs         = 0.1
 	maxTokenMs         = 100.0
 	maxPrefillFraction = 0.5 // fraction of a decode server's time that is taken to be prefill at most
 )
 
-// add adds a stream that generated a number of tokens while its server prefilled for a fraction of the time.
-func (t *tokenTime) add(tokens int, took time.Duration, prefillFraction float64) {
-	t.ms = t.ms*tokenTimeDecay + milliseconds(took)*(1-min(maxPrefillFraction, prefillFraction))
-	t.tokens = t.tokens*tokenTimeDecay + float64(tokens)
-}
-
-// value returns the estimate in milliseconds, or 0 if there is none.
-func (t *tokenTime) value() float64 {
-	if t.tokens == 0 {
-		return 0
+// add adds a stream with its time for a token.
+func (t *tokenTime) add(ms float64) {
+	ms = min(maxTokenMs, max(minTokenMs, ms))
+	t.streams++
+	if t.streams == 1 {
+		t.ms = ms
+		return
+	}
+	step := 1 + max(minTokenTimeStep, firstTokenTimeStep/t.streams)
+	if ms > t.ms {
+		t.ms = min(ms, t.ms*step)
+	} else {
+		t.ms = max(ms, t.ms/step)
 	}
-	return min(maxTokenMs, max(minTokenMs, t.ms/t.tokens))
 }
 
 // observeTokenTime updates the estimate with a complete stream that ran on a decode server. The streams of other servers
-// say little about the decode steps, since prefills delay them.
+// say little about the decode steps, since prefills delay them. The time of the migration, and of waiting for one of the server's
+// slots where routers have filled it beyond them, is taken off.
 func (g *Grant) observeTokenTime(now time.Time) {
-	p := g.server.pool
-	if !p.disaggregated || g.server.prefillServer || g.request.OutputTokens <= shortOutputTokens {
+	s := g.server
+	p := s.pool
+	if !p.disaggregated || s.prefillServer || g.request.OutputTokens <= shortOutputTokens {
 		return
 	}
-	began := g.firstEventAt
+	took := milliseconds(now.Sub(g.firstEventAt))
 	if g.migrated {
-		began = g.sentAt
-	}
-	if !began.IsZero() {
-		p.tokenTime.add(g.request.OutputTokens, now.Sub(began), g.server.recentPrefill.sum(now, p.eventGapMs)/p.eventGapMs)
+		took = milliseconds(now.Sub(g.sentAt)) - p.engine().MigrationMs(g.request.PromptTokens)
+	} else if g.firstEventAt.IsZero() {
+		return
 	}
+	running, _ := s.load()
+	slots := float64(s.slotCount())
+	waiting := slots / max(slots, float64(running+1)) // this stream has been taken off already
+	prefill := min(maxPrefillFraction, s.recentPrefill.sum(now, p.eventGapMs)/p.eventGapMs)
+	p.tokenTime.add(took * waiting * (1 - prefill) / float64(g.request.OutputTokens))
 }
 
 // engine returns what is known of the pool's model servers, without their slots.
 func (p *pool) engine() roles.Engine {
 	return roles.Engine{
-		PrefillMsPerToken: p.msPerToken, TokenMs: p.tokenTime.value(), EventGapMs: p.eventGapMs,
+		PrefillMsPerToken: p.msPerToken, TokenMs: p.tokenTime.ms, EventGapMs: p.eventGapMs,
 		KVBytes: p.service.KVBytesPerToken, LinkMbps: p.service.LinkMbps,
 	}
 }
@@ -101,8 +112,8 @@
 	}
 	in := roles.Inputs{Servers: len(usable), Engine: p.engine(), Mix: &p.mix, CostPerSecond: p.costPerSecond(now)}
 	in.Engine.Slots = slots / len(usable)
-	if d, changed := p.roles.Update(now, in); changed && len(p.placement.roleChanges) < maxRoleChanges {
-		p.placement.roleChanges = append(p.placement.roleChanges, RoleChange{p.service.Name, d})
+	if d, report := p.roles.Update(now, in); report && len(p.placement.roleDecisions) < maxRoleDecisions {
+		p.placement.roleDecisions = append(p.placement.roleDecisions, RoleDecision{p.service.Name, d})
 	}
 }
 
@@ -120,20 +131,20 @@
 	return n
 }
 
-// RoleChange is a change of the roles of a service's model servers.
-type RoleChange struct {
+// RoleDecision is a decision on the roles of a service's model servers.
+type RoleDecision struct {
 	Service string
 	roles.Decision
 }
 
-// maxRoleChanges bounds the changes that are kept until they are read.
-const maxRoleChanges = 16
+// maxRoleDecisions bounds the decisions that are kept until they are read.
+const maxRoleDecisions = 16
 
-// RoleChanges returns the changes of roles since the last call, at most maxRoleChanges.
-func (p *Placement) RoleChanges() []RoleChange {
+// RoleDecisions returns the decisions on roles to log since the last call, at most maxRoleDecisions.
+func (p *Placement) RoleDecisions() []RoleDecision {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	changes := p.roleChanges
-	p.roleChanges = nil
-	return changes
+	decisions := p.roleDecisions
+	p.roleDecisions = nil
+	return decisions
 }
--- a/placement/roles_load_test.go
+++ b/placement/roles_load_test.go
@@ -156,7 +156,7 @@
 type loadResult struct {
 	mu                                               sync.Mutex
 	arrived, refused, lateFirst, gapMissed, migrated int
-	changes                                          []placement.RoleChange
+	changes                                          []placement.RoleDecision
 }
 
 // inTime returns the fraction of callers that were served within their objectives.
@@ -242,7 +242,11 @@
 		}
 	}
 	for _, p := range l.routers {
-		l.result.changes = append(l.result.changes, p.RoleChanges()...)
+		for _, d := range p.RoleDecisions() {
+			if d.Changed {
+				l.result.changes = append(l.result.changes, d)
+			}
+		}
 	}
 }
 
--- a/roles/decider.go
+++ b/roles/decider.go
@@ -29,6 +29,7 @@
 	interval    = time.Second      // between two assessments
 	minRequests = 100              // seen before the first one; the lengths of fewer say too little
 	minHold     = 30 * time.Second // from a change of the roles to the next
+	reportTime  = time.Minute      // between two reports while nothing changes
 	rateGain    = 0.05             // weight of a new rate of arrivals
 )
 
@@ -40,8 +41,9 @@
 	CostPerSecond float64 // of the requests that arrive at all routers; routers agree on it more closely than on their number
 }
 
-// Decision is the outcome of a change with what decided it.
+// Decision is the outcome of an assessment with what decided it.
 type Decision struct {
+	Changed           bool
 	Split             bool // some servers prefill for the others
 	Servers           int
 	Requests          float64 // in the mean work
@@ -56,6 +58,7 @@
 	together   bool
 	assessedAt time.Time
 	changedAt  time.Time
+	reportedAt time.Time
 	busyAt     time.Time // when the load was last too high to split the pool again
 	rates      int       // that were smoothed
 	rate       float64
@@ -67,9 +70,9 @@
 // Split reports whether some servers prefill for the others.
 func (d *Decider) Split() bool { return !d.together }
 
-// Update assesses the inputs if an assessment is due. It reports whether the decision changed, with what decided it. If
-// figures of the engine are unknown, the decision stays as it is.
-func (d *Decider) Update(now time.Time, in Inputs) (made Decision, changed bool) {
+// Update assesses the inputs if an assessment is due. It reports whether the decision is to be logged, with what decided it: the
+// first one, each change, and one in each reportTime. If figures of the engine are unknown, the decision stays as it is.
+func (d *Decider) Update(now time.Time, in Inputs) (made Decision, report bool) {
 	if !d.Due(now) {
 		return Decision{}, false
 	}
@@ -79,17 +82,19 @@
 	}
 	d.rates++
 	d.rate += max(rateGain, 1/float64(d.rates)) * (in.CostPerSecond - d.rate)
-	if !d.changedAt.IsZero() && now.Sub(d.changedAt) < minHold {
-		return Decision{}, false
-	}
 	work := in.Mix.Mean()
 	perSecond := d.rate / max(1, work.Cost)
 	a := Assess(in.Servers, in.Engine, work, perSecond)
-	if d.together != d.wantsTogether(now, a) {
+	held := !d.changedAt.IsZero() && now.Sub(d.changedAt) < minHold
+	changed := d.together != d.wantsTogether(now, a) && !held
+	if changed {
 		d.together, d.changedAt = !d.together, now
-		return Decision{!d.together, in.Servers, in.Mix.Requests(), perSecond, in.Engine, work, a}, true
 	}
-	return Decision{}, false
+	if !changed && now.Sub(d.reportedAt) < reportTime {
+		return Decision{}, false
+	}
+	d.reportedAt = now
+	return Decision{changed, !d.together, in.Servers, in.Mix.Requests(), perSecond, in.Engine, work, a}, true
 }
 
 // wantsTogether reports whether no server should prefill for others, by the limits that hold in the present state.
--- a/roles/roles_test.go
+++ b/roles/roles_test.go
@@ -122,7 +122,7 @@
 		}
 		cost := r.costPerSecond() * load * (1 + 0.05*r.random.NormFloat64()) // reports are late
 		in := roles.Inputs{Servers: r.servers, Engine: r.engine(), Mix: &r.mix, CostPerSecond: cost}
-		if _, changed := r.decider.Update(start.Add(time.Duration(s)*time.Second), in); changed {
+		if d, report := r.decider.Update(start.Add(time.Duration(s)*time.Second), in); report && d.Changed {
 			changes++
 		}
 	}
