spillover: leave the zone by the load of home and within the free capacity of others

Cause: a server of another zone cost a constant 3 ms more, less than the margin within which servers are equally good, so that most requests without shared segments left their zone whether it had room or not.

Change: package spillover sets the price of leaving for each model service by the utilization of home and of the other zones, and splits each zone's free capacity between the routers in advance. The price stays 3 ms, and nothing is bounded, where home has few servers, the service runs several versions, all zones are full, or no other router is heard. Requests follow their shared segments to the owner as before. Log event spillover-changed and four metrics.

Test: go test ./spillover ./placement ./cmd/bulrushtally

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -275,6 +275,7 @@
 	links.Go("clean", g.clean)
 	links.Go("metrics", g.serveMetrics)
 	links.Go("store-calls", g.reportStoreCalls)
+	links.Go("spillover", g.reportSpillover)
 	go g.readyServer.Serve(g.readyListener)
 	serving := root.Subtree("serving")
 	serving.Go("callers", g.ingress.Run)
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -96,10 +96,10 @@
 // Unusable ones are out of service, were tried before, or are cold and at the limit of
 // their rate; Limited ones name a limit, of which this router has used its part; Reserved ones
 // are reserved for another request; Full ones have no slot or KV cache left; Busy ones have too
-// much prefill to do.
+// much prefill to do. Spillover ones are in another zone to which this router has sent its part of what the zone can take.
 type Rejections struct {
-	Unusable, Limited, Reserved, Full, Busy int
-	ShortestFirstEvent                      time.Duration // shortest expected time to the first event among the busy ones
+	Unusable, Limited, Reserved, Full, Busy, Spillover int
+	ShortestFirstEvent                                 time.Duration // shortest expected time to the first event among the busy ones
 }
 
 // Error returns the reason and the time after which to send the request again.
@@ -132,13 +132,14 @@
 	shares          *shares
 	peers           map[string]*peerState // by router
 	availableAt     time.Time             // last update of shares.available
+	zonesHeard      map[string]time.Time  // last summary of a router of the zone, by zone
 }
 
 // New returns a Placement without services and backend servers.
 func New(o Options) *Placement {
 	return &Placement{
 		zone: o.Zone, limits: o.Limits, routers: max(1, o.Routers), shares: newShares(o.Now),
-		pools: map[string]*pool{}, servers: map[string]*server{}, statuses: serverstatus.NewRegister(), outOfService: map[string]bool{}, peers: map[string]*peerState{},
+		pools: map[string]*pool{}, servers: map[string]*server{}, statuses: serverstatus.NewRegister(), outOfService: map[string]bool{}, peers: map[string]*peerState{}, zonesHeard: map[string]time.Time{},
 	}
 }
 
--- a/placement/pool.go
+++ b/placement/pool.go
@@ -46,7 +46,6 @@
 	recomputeCostMs        = 0.10 // per shared token that another server holds
 	runningStreamCostMs    = 0.4  // per running stream, whose decode steps get longer
 	gapExcessCost          = 0.08 // per running stream and millisecond of recent prefill beyond the limit
-	crossZoneCostMs        = 3.0  // for traffic between availability zones
 	tieMarginMs            = 6.0  // servers whose costs differ by less are equally good
 	tieMarginPerIntervalMs = 0.04 // added to tieMarginMs per millisecond of the interval between summaries
 )
@@ -72,6 +71,7 @@
 	idleSpareFraction float64            // fraction of the spare capacity that customers far above their fair share may use too, because servers are idle
 	kvHolders         map[uint64]*server // by prefix: server other than the owner that held it last
 	admitted          map[string]bool    // versions at which streams may begin
+	spillover         spilloverState
 }
 
 // newPool returns a pool without servers.
@@ -124,6 +124,7 @@
 // smaller requests do not keep it full.
 func (p *pool) chooseModelServer(now time.Time, w *waiter) (candidate, bool) {
 	p.assignRoles(now)
+	p.updateSpillover(now)
 	w.rejections = Rejections{}
 	sr := p.newSearch(now, w)
 	if sr.spareOnly && sr.prefillFraction < minPrefillFraction {
@@ -142,7 +143,7 @@
 			}
 		}
 	}
-	if !sr.found && p.disaggregated && sr.wantsPrefill && w.request.Version == "" && w.rejections.Busy+w.rejections.Reserved+w.rejections.Full == 0 {
+	if !sr.found && p.disaggregated && sr.wantsPrefill && w.request.Version == "" && w.rejections.Busy+w.rejections.Reserved+w.rejections.Full+w.rejections.Spillover == 0 {
 		for _, s := range p.servers { // no prefill server is usable
 			if !s.prefillServer {
 				sr.consider(s)
@@ -155,6 +156,7 @@
 	if !sr.found && !sr.spareOnly && sr.bestBusy.server != nil && !(p.disaggregated && sr.bestBusy.server.prefillServer) {
 		sr.bestBusy.server.reservedFor = w
 	}
+	p.spillover.record(p.placement.zone, sr)
 	return sr.best, sr.found
 }
 
@@ -172,6 +174,8 @@
 	slotFraction    float64            // fraction of a server's slots that may be used
 	queueFraction   float64            // longest prefill wait at a prefill server, as a fraction of the latency objective
 	tieMargin       float64            // servers whose costs differ by less are equally good, in milliseconds
+	leavingPrice    float64            // added for another zone or its segments beyond spillover.MinPriceMs, in milliseconds
+	boundsSpillover bool               // servers of other zones are considered within the bounds of spillover
 
 	best, bestBusy candidate // bestBusy is the cheapest one without room
 	found          bool
@@ -182,7 +186,8 @@
 func (p *pool) newSearch(now time.Time, w *waiter) *search {
 	sr := &search{pool: p, now: now, waiter: w, spareOnly: w.spareOnly(), eventGapMs: milliseconds(cmp.Or(w.request.MaxEventGap, defaultEventGap))}
 	p.eventGapMs = max(p.eventGapMs, sr.eventGapMs)
-	sr.tieMargin = tieMarginMs + tieMarginPerIntervalMs*milliseconds(p.placement.summaryInterval)
+	sr.tieMargin = p.tieMargin()
+	sr.startSpillover()
 	sr.wantsPrefill = p.needsPrefillServer(w.request, sr.eventGapMs)
 	sr.owner = p.owner(now, w.request.Segments, sr.wantsPrefill, w.request.Version)
 	sr.prefillFraction, sr.slotFraction, sr.queueFraction = fairPrefillFraction*p.lateRate.fairFraction(), fairSlotFraction, fairQueueFraction
@@ -218,6 +223,9 @@
 	case s.reservedForOther(sr.waiter):
 		rejections.Reserved++
 		return
+	case !sr.maySpill(s):
+		rejections.Spillover++
+		return
 	}
 	s.decaySlowdown(now)
 	running, tokens := s.load()
@@ -226,6 +234,7 @@
 		return
 	}
 	c := p.evaluate(now, req, s, sr.ownerFor(s), s == sr.owner, running)
+	c.cost += sr.leavingCost(s, &c)
 	if !sr.checkRoom(s, &c, running) {
 		if rejections.Busy++; rejections.ShortestFirstEvent == 0 || c.firstEvent < rejections.ShortestFirstEvent {
 			rejections.ShortestFirstEvent = c.firstEvent
@@ -289,9 +298,6 @@
 	c.prefillMs = milliseconds(prefill)
 	c.firstEvent = s.prefillWait(now) + prefill + time.Duration(p.baseMs*float64(time.Millisecond))
 	c.cost = milliseconds(c.firstEvent) + recomputeCostMs*float64(c.missingTokens) + runningStreamCostMs*float64(running)
-	if s.Zone != p.placement.zone {
-		c.cost += crossZoneCostMs
-	}
 	return c
 }
 
--- a/placement/queue.go
+++ b/placement/queue.go
@@ -256,6 +256,7 @@
 	defer p.mu.Unlock()
 	p.updateAvailable(now)
 	for _, pl := range p.pools {
+		pl.updateSpillover(now)
 		p.dispatch(now, pl)
 	}
 }
--- a/placement/summary.go
+++ b/placement/summary.go
@@ -151,6 +151,7 @@
 func (p *Placement) ApplySummary(now time.Time, m *Summary) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.zonesHeard[m.Zone] = now
 	peer := p.peers[m.Router]
 	if peer == nil || peer.incarnation != m.Incarnation {
 		peer = &peerState{zone: m.Zone, zoneRouters: m.ZoneRouters, incarnation: m.Incarnation, sentTokens: map[string]uint64{}}
