spillover: customers above their share leave half of a part, and routers give way by rank

Cause: a customer above its fair share could use a router's whole part of a zone's free capacity. In a zone without free capacity each router took back at least one request a period, all at once; and a zone that lacks a role counted as full.

Change: such customers get half of a part; what a router takes back is a thirty-second, rounded by rank; only roles that a zone has count. The line request shows how many servers a bound passed over.

Test: go test ./spillover ./placement

--- a/ingress/log.go
+++ b/ingress/log.go
@@ -67,7 +67,7 @@
 		e = e.Str("stream_version", x.placementRequest.Version)
 	}
 	if s := v.servers; s != (placement.Rejections{}) {
-		e = e.Int("unusable", s.Unusable).Int("limited", s.Limited).Int("reserved", s.Reserved).Int("full", s.Full).Int("busy", s.Busy).Dur("best_expected_first_event_ms", s.ShortestFirstEvent)
+		e = e.Int("unusable", s.Unusable).Int("limited", s.Limited).Int("reserved", s.Reserved).Int("full", s.Full).Int("busy", s.Busy).Int("spillover", s.Spillover).Dur("best_expected_first_event_ms", s.ShortestFirstEvent)
 	}
 	if s := v.share; cause == string(placement.OverShare) {
 		e = e.Int("share_tokens", int(s.FairShare)).Int("within_share_tokens", int(s.WithinShare)).Int("served_tokens", int(s.Served)).Int("least_served_tokens", int(s.LeastServed)).Float64("idle_spare_fraction", s.IdleSpareFraction).Int("zones_reporting", s.Zones).Dur("oldest_zone_report_ms", s.OldestZoneReport)
--- a/placement/spillover.go
+++ b/placement/spillover.go
@@ -115,21 +115,19 @@
 
 // viewZone completes the load of a zone by that of its roles.
 func (p *pool) viewZone(now time.Time, z *spillover.ZoneLoad, roles *[2]roleLoad) {
-	n := 1
+	z.RoleServers = roles[0].servers
 	if p.disaggregated {
-		n = 2
+		z.RoleServers = min(roles[0].servers, roles[1].servers)
 	}
-	for i, l := range roles[:n] {
-		z.Servers += l.servers
-		if i == 0 || l.servers < z.RoleServers {
-			z.RoleServers = l.servers
+	for _, l := range roles {
+		if l.servers == 0 {
+			continue // a small zone may lack a role; it can take requests of the other one
 		}
-		if i == 0 || l.free < z.Free {
+		if z.Servers == 0 || l.free < z.Free {
 			z.Free = l.free
 		}
-		if l.servers > 0 {
-			z.Utilization = max(z.Utilization, l.utilization/float64(l.servers))
-		}
+		z.Servers += l.servers
+		z.Utilization = max(z.Utilization, l.utilization/float64(l.servers))
 	}
 	if z.Name == p.placement.zone {
 		z.Utilization = max(z.Utilization, min(1, p.lateRate.fraction/lateShareOfFull))
@@ -158,7 +156,7 @@
 		}
 	}
 	for i, z := range st.view.Zones {
-		st.allowed[i] = st.policy.Allows(z.Name, z.Running)
+		st.allowed[i] = st.policy.Allows(z.Name, z.Running, sr.spareOnly)
 	}
 }
 
--- a/placement/spillover_test.go
+++ b/placement/spillover_test.go
@@ -201,6 +201,49 @@
 	}
 }
 
+// Fails if an evacuated zone gets more than little as soon as it is back in service.
+func TestZoneBackInServiceGetsLittleAtFirst(t *testing.T) {
+	f := newZoneFleet(3, 4, 1)
+	f.tick(12)
+	f.fill("zone-a", 16)
+	f.fill("zone-c", 2)
+	p := f.routers[0]
+	p.SetZoneOutOfService(f.now, "zone-b", true)
+	f.tick(2)
+	p.SetZoneOutOfService(f.now, "zone-b", false)
+	f.tick(1)
+	got := 0
+	for range 60 {
+		if g := f.send(0, newRequest("a", 10)); g != nil && f.server[g.ID()] == "zone-b" {
+			got++
+		}
+	}
+	if got > 4 {
+		t.Errorf("got %d requests at once in a zone that is just back, want at most 4", got)
+	}
+}
+
+// Fails if callers of a full zone wait for a zone that is cut off, or go there, while another one has room.
+func TestCutOffZoneGetsNothing(t *testing.T) {
+	f := newZoneFleet(3, 4, 1)
+	f.tick(12)
+	f.routers = f.routers[:1] // only what is filled in below is heard from now on
+	for range 10 {
+		f.fill("zone-a", 16)
+		f.fill("zone-c", 2)
+		f.tick(1)
+	}
+	for range 6 {
+		g := f.send(0, newRequest("a", 10))
+		if g == nil {
+			t.Fatal("got a refusal, want a server of zone-c")
+		}
+		if got, want := f.server[g.ID()], "zone-c"; got != want {
+			t.Errorf("got a request in %s, want %s", got, want)
+		}
+	}
+}
+
 // Fails if callers of a zone with uneven demand are served worse than without the policy, or if requests of the other zones leave
 // them although they have room.
 func TestUnevenDemandIsServedAndStaysNear(t *testing.T) {
--- a/spillover/policy.go
+++ b/spillover/policy.go
@@ -27,7 +27,7 @@
 	silentIntervals   = 4                // the same in intervals between reports
 	maxSilence        = 10 * time.Second // without a report, from which on connections alone tell whether the zone's servers work
 	returnTime        = 5 * time.Second  // in which the part of a zone that is back grows to the full one
-	giveWayPart       = 8                // of this router's requests in a zone without free capacity, one in so many gives way in a period
+	giveWayPart       = 32               // of this router's requests in a zone without free capacity, one in so many gives way in a period
 )
 
 // ZoneLoad is what a router knows of a service's servers in one zone.
@@ -74,6 +74,7 @@
 	name     string
 	bounded  bool
 	limit    int       // number of requests of this router in flight there from which on no more spill over
+	spare    int       // the same for requests of customers above their fair share
 	closed   bool      // nothing spilled over to it at the last update
 	openedAt time.Time // when it was last found to be back; zero if it was open since the start
 }
@@ -274,41 +275,49 @@
 	}
 	z.closed = closed
 	z.bounded = l.Heard && l.ReportAge < maxSilence || l.OutOfService
-	z.limit = l.Running
 	if closed {
-		z.limit = 0
+		z.limit, z.spare = 0, 0
 		return
 	}
 	if l.Free <= 0 {
-		z.limit -= (l.Running + giveWayPart - 1) / giveWayPart
+		z.limit = l.Running - round(float64(l.Running)/giveWayPart, v, period)
+		z.spare = z.limit
 		return
 	}
 	free := freePart * l.Free * (1 - min(1, float64(l.ReportAge)/float64(v.silence())))
 	if !z.openedAt.IsZero() {
 		free *= min(1, float64(now.Sub(z.openedAt))/float64(returnTime))
 	}
-	z.limit += part(free, v.Routers, v.Rank, period)
+	n := round(free/float64(max(1, v.Routers)), v, period)
+	z.limit, z.spare = l.Running+n, l.Running+n/2
 }
 
 // turn is the fraction of the ranks by which the remainder of a split moves on with each period; the golden ratio spreads
 // it evenly.
 const turn = 0.6180339887498949
 
-// part returns this router's part of an amount that is split between n routers in whole units. Over distinct ranks
-// the parts add up to less than the amount plus 1, and the remainder goes to other routers in each period.
-func part(amount float64, n, rank int, period int64) int {
-	n = max(1, n)
+// round rounds a part of a split down or up by the router's rank. Over distinct ranks equal parts add up to less than their
+// sum plus 1, and the remainder goes to other routers in each period.
+func round(part float64, v *View, period int64) int {
+	n := max(1, v.Routers)
 	_, shift := math.Modf(float64(period%(1<<20)) * turn)
-	offset := float64((rank+int(shift*float64(n)))%n) / float64(n)
-	return int(amount/float64(n) + offset)
+	offset := float64((v.Rank+int(shift*float64(n)))%n) / float64(n)
+	return int(part + offset)
 }
 
 // Allows reports whether a request may spill over to a zone, in which this router has a number of requests in flight.
-// Anything is allowed while the policy is off.
-func (p *Policy) Allows(name string, running int) bool {
+// Customers above their fair share (spare) get at most half of the part, so that the others find some left. Anything is
+// allowed while the policy is off.
+func (p *Policy) Allows(name string, running int, spare bool) bool {
 	if !p.On() {
 		return true
 	}
 	z := p.find(name)
-	return z == nil || !z.bounded || running < z.limit
+	switch {
+	case z == nil || !z.bounded:
+		return true
+	case spare:
+		return running < z.spare
+	}
+	return running < z.limit
 }
