preview: ask a running router where a request would go now, and why

Cause: the logs explain requests that ran. What a router would do with a request at this moment could not be asked.

Change: Placement.Preview runs the search without sending, counting or reserving.

Measured: nothing; no request takes another path.

Test: go test ./placement ./gateway ./cmd/bulrushtally -run Preview

--- a/cmd/bulrushtally/main.go
+++ b/cmd/bulrushtally/main.go
@@ -30,7 +30,7 @@
 	app := &cli.Command{
 		Name:     "bulrushtally",
 		Usage:    "route requests to backend servers with fair shares for customers",
-		Commands: append([]*cli.Command{runCommand(), gatewayCommand(), explainCommand(), checkCommand(), hashCommand()}, operatorCommands()...),
+		Commands: append([]*cli.Command{runCommand(), gatewayCommand(), explainCommand(), previewCommand(), checkCommand(), hashCommand()}, operatorCommands()...),
 	}
 	if err := app.Run(context.Background(), os.Args); err != nil {
 		fmt.Fprintln(os.Stderr, "bulrushtally:", err)
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -80,6 +80,7 @@
 	readyServer    *fasthttp.Server // for the load balancer's readiness checks
 	readyListener  net.Listener
 	metricsHandler fasthttp.RequestHandler
+	previews       previews
 
 	incarnation  uint64        // start time in Unix nanoseconds
 	leaving      atomic.Bool   // the stop has begun
@@ -364,7 +365,7 @@
 	if err != nil {
 		return err
 	}
-	s := &fasthttp.Server{Handler: g.metricsHandler, Logger: debugPrinter{g.logger}}
+	s := &fasthttp.Server{Handler: g.handlePage, Logger: debugPrinter{g.logger}}
 	stop := context.AfterFunc(ctx, func() { ln.Close() })
 	defer stop()
 	if err := s.Serve(ln); err != nil && !errors.Is(err, net.ErrClosed) && ctx.Err() == nil {
--- a/gateway/testbed_test.go
+++ b/gateway/testbed_test.go
@@ -46,10 +46,11 @@
 
 // gatewaySettings are the settings of a gateway that tests vary.
 type gatewaySettings struct {
-	graceSeconds int // from SIGTERM to SIGKILL
-	descriptors  int
-	memoryMB     int
-	retrySlack   int // requests that the fleet may send again beside those that its share of all allows
+	graceSeconds  int // from SIGTERM to SIGKILL
+	descriptors   int
+	memoryMB      int
+	retrySlack    int    // requests that the fleet may send again beside those that its share of all allows
+	metricsListen string // no metrics are served if empty
 }
 
 // usualSettings are the settings of tests that vary none.
@@ -77,7 +78,9 @@
 revoke-ms = 2500
 grace-s = %d
 retry-slack = %d
-`, name, varied.descriptors, varied.memoryMB, freeUDPPort(t), storeAddress, varied.graceSeconds, varied.retrySlack)
+[metrics]
+listen = %s
+`, name, varied.descriptors, varied.memoryMB, freeUDPPort(t), storeAddress, varied.graceSeconds, varied.retrySlack, varied.metricsListen)
 	s, err := settings.ParseGateway([]byte(text))
 	if err != nil {
 		t.Fatal(err)
--- a/placement/queue.go
+++ b/placement/queue.go
@@ -19,6 +19,7 @@
 	overShare  bool        // the customer was above its fair share at the last check
 	longPrompt bool        // the request belongs on a prefill server, by the last check
 	rejections Rejections  // of the last search
+	preview    bool        // it is not sent
 }
 
 // kind is what the search for a server depends on most.
--- a/placement/spillover.go
+++ b/placement/spillover.go
@@ -184,9 +184,10 @@
 	return cost
 }
 
-// record counts the outcome of a search.
+// record counts the outcome of a search for a request that is sent if there is a server.
 func (st *spilloverState) record(home string, sr *search) {
 	switch {
+	case sr.waiter.preview:
 	case sr.found && sr.best.server.Zone != home:
 		st.left++
 	case sr.found:
