spillover: the price stays the lowest if the owner of the segments is in another zone

Cause: a server at home that seemed to hold the shared segments of an owner in another zone was preferred to the owner. A router knows only what it sent to that server itself, not what was evicted since, so that segments would be prefilled again.

Change: such requests pay 3 ms for any other zone, as before. The high price is left for requests without shared segments and those whose owner is at home.

Test: TestPriceIsLowestIfSegmentsAreInAnotherZone, which fails with a price of 28.4 ms if the owner is not yet known when the price is set

--- a/placement/pool.go
+++ b/placement/pool.go
@@ -174,7 +174,7 @@
 	slotFraction    float64            // fraction of a server's slots that may be used
 	queueFraction   float64            // longest prefill wait at a prefill server, as a fraction of the latency objective
 	tieMargin       float64            // servers whose costs differ by less are equally good, in milliseconds
-	leavingPrice    float64            // added for another zone or its segments beyond spillover.MinPriceMs, in milliseconds
+	leavingPrice    float64            // added for another zone beyond spillover.MinPriceMs, in milliseconds
 	boundsSpillover bool               // servers of other zones are considered within the bounds of spillover
 
 	best, bestBusy candidate // bestBusy is the cheapest one without room
@@ -187,7 +187,6 @@
 	sr := &search{pool: p, now: now, waiter: w, spareOnly: w.spareOnly(), eventGapMs: milliseconds(cmp.Or(w.request.MaxEventGap, defaultEventGap))}
 	p.eventGapMs = max(p.eventGapMs, sr.eventGapMs)
 	sr.tieMargin = p.tieMargin()
-	sr.startSpillover()
 	sr.wantsPrefill = p.needsPrefillServer(w.request, sr.eventGapMs)
 	sr.owner = p.owner(now, w.request.Segments, sr.wantsPrefill, w.request.Version)
 	sr.prefillFraction, sr.slotFraction, sr.queueFraction = fairPrefillFraction*p.lateRate.fairFraction(), fairSlotFraction, fairQueueFraction
@@ -195,6 +194,7 @@
 		fraction := p.lateRate.spareFraction() * p.placement.shares.allowedSpare(now, w.customer, w.request.cost(), p.idleSpareFraction)
 		sr.prefillFraction, sr.slotFraction, sr.queueFraction = sparePrefillFraction*fraction, spareSlotFraction, spareQueueFraction*fraction
 	}
+	sr.startSpillover()
 	return sr
 }
 
@@ -234,7 +234,7 @@
 		return
 	}
 	c := p.evaluate(now, req, s, sr.ownerFor(s), s == sr.owner, running)
-	c.cost += sr.leavingCost(s, &c)
+	c.cost += sr.leavingCost(s)
 	if !sr.checkRoom(s, &c, running) {
 		if rejections.Busy++; rejections.ShortestFirstEvent == 0 || c.firstEvent < rejections.ShortestFirstEvent {
 			rejections.ShortestFirstEvent = c.firstEvent
--- a/placement/spillover.go
+++ b/placement/spillover.go
@@ -139,14 +139,18 @@
 }
 
 // startSpillover sets the price and the bounds that hold for the search. A request that keeps to a version may have no
-// server at home, so that it is neither bounded nor priced higher.
+// server at home, so that it is neither bounded nor priced higher. If the owner of the shared segments is in another zone, a
+// server at home would fetch them from there, which takes more bytes than the request, or prefill them again. The price stays
+// the lowest then.
 func (sr *search) startSpillover() {
 	st, req := &sr.pool.spillover, sr.waiter.request
 	if !st.policy.On() || req.Version != "" {
 		return
 	}
-	sr.leavingPrice = st.policy.PriceFor(req.LatencyObjective, rand.Float64()) - spillover.MinPriceMs
 	sr.boundsSpillover = true
+	if sr.owner == nil || sr.owner.Zone == sr.pool.placement.zone {
+		sr.leavingPrice = st.policy.PriceFor(req.LatencyObjective, rand.Float64()) - spillover.MinPriceMs
+	}
 	for i := range st.view.Zones {
 		st.view.Zones[i].Running = 0
 	}
@@ -169,19 +173,12 @@
 	return sr.pool.spillover.allowed[s.zoneIndex-1]
 }
 
-// leavingCost returns the price of traffic between zones for a request at a server. A server at home that lacks shared
-// segments of another zone pays the raised price too: it would fetch them from there, which takes more bytes than the
-// request, or prefill them again.
-func (sr *search) leavingCost(s *server, c *candidate) (cost float64) {
-	home := sr.pool.placement.zone
-	leaves := s.Zone != home
-	if leaves {
-		cost = spillover.MinPriceMs
-	}
-	if leaves || c.missingTokens > 0 && sr.owner != nil && sr.owner.Zone != home {
-		cost += sr.leavingPrice
+// leavingCost returns the price of traffic between zones for a request at a server.
+func (sr *search) leavingCost(s *server) float64 {
+	if s.Zone == sr.pool.placement.zone {
+		return 0
 	}
-	return cost
+	return spillover.MinPriceMs + sr.leavingPrice
 }
 
 // record counts the outcome of a search for a request that is sent if there is a server.
--- a/placement/spillover_test.go
+++ b/placement/spillover_test.go
@@ -201,6 +201,35 @@
 	}
 }
 
+// Fails if a request pays the high price although its segments are in another zone, so that they are prefilled again or fetched from
+// there, or if it pays the lowest although they are at home.
+func TestPriceIsLowestIfSegmentsAreInAnotherZone(t *testing.T) {
+	f := newZoneFleet(3, 4, 1)
+	f.tick(12)
+	seen := map[bool]bool{}
+	for id := range uint64(40) {
+		v, _ := f.routers[0].Preview(time.Now(), newRequest("a", 1000, placement.Segment{ID: id, Tokens: 900}))
+		cost := map[string]float64{} // of the servers other than the owner, which are alike
+		for _, s := range v.Servers {
+			if s.ID != v.Owner {
+				cost[s.Zone] = s.CostMs
+			}
+		}
+		atHome := f.server[v.Owner] == "zone-a"
+		seen[atHome] = true
+		got, want := cost["zone-b"]-cost["zone-a"], spillover.MinPriceMs
+		if atHome {
+			want = 28.4 // the tie margin at 60 ms between summaries, and 20 ms
+		}
+		if got < want-0.1 || got > want+0.1 {
+			t.Fatalf("got a price of %v ms for an owner in %s, want %v", got, f.server[v.Owner], want)
+		}
+	}
+	if len(seen) != 2 {
+		t.Errorf("got owners at home and elsewhere: %v, want both", seen)
+	}
+}
+
 // Fails if an evacuated zone gets more than little as soon as it is back in service.
 func TestZoneBackInServiceGetsLittleAtFirst(t *testing.T) {
 	f := newZoneFleet(3, 4, 1)
