spillover: roles are known before the first request, and a router that does not hear home has no policy

Cause: roles were assigned by the first request, so that until then a zone with one decode server counted as one with enough servers. A router that no longer heard its own zone took home for idle, since it knew only its own requests there.

Change: roles are assigned before the load of the zones is computed. The state is unheard where home has gone silent.

Test: TestEachRoleNeedsServersAtHome, TestPolicyIsOffWhereHomeIsNotHeard

--- a/placement/spillover.go
+++ b/placement/spillover.go
@@ -44,6 +44,7 @@
 	if !p.service.ServesModels() || !st.policy.Due(now, pl.summaryInterval) {
 		return
 	}
+	p.assignRoles(now) // no request may have needed them yet
 	st.view.Home, st.view.Routers, st.view.Rank = pl.zone, pl.routers, pl.rank
 	st.view.Interval, st.view.TieMarginMs = pl.summaryInterval, p.tieMargin()
 	p.viewZones(now)
--- a/placement/spillover_test.go
+++ b/placement/spillover_test.go
@@ -28,8 +28,12 @@
 // newZoneFleet returns a fleet without load. Its servers have 16 slots each. If versions is above 1, the servers run that many
 // software versions, so that leaving the zone is priced as without a policy.
 func newZoneFleet(routers, serversOfZone, versions int) *zoneFleet {
+	return newFleetOf(&route.Service{Name: "models", Slots: 16, KVCapacity: 444000, ColdTime: 3 * time.Second, ColdPerSecond: 23}, routers, serversOfZone, versions)
+}
+
+// newFleetOf returns a fleet with a service of its own.
+func newFleetOf(s *route.Service, routers, serversOfZone, versions int) *zoneFleet {
 	f := &zoneFleet{now: time.Now(), server: map[string]string{}, sent: make([][2]int, routers)}
-	s := &route.Service{Name: "models", Slots: 16, KVCapacity: 444000, ColdTime: 3 * time.Second, ColdPerSecond: 23}
 	table := route.New(1, nil, []*route.Service{s}, nil, route.Limits{})
 	for rank := range routers {
 		zone := zones[rank%len(zones)]
@@ -230,6 +234,28 @@
 	}
 }
 
+// Fails if a zone with few prefill or decode servers sends its requests to them alone, or if the roles are mixed up otherwise: with 12
+// servers in each zone the price is in force, with four it is not.
+func TestEachRoleNeedsServersAtHome(t *testing.T) {
+	for serversOfZone, want := range map[int]bool{12: true, 4: false} {
+		f := newFleetOf(&route.Service{Name: "models", Slots: 16, KVCapacity: 444000, Migrates: true}, 3, serversOfZone, 1)
+		f.tick(12)
+		v, _ := f.routers[0].Preview(time.Now(), newRequest("a", 10))
+		roles := map[bool]int{}
+		for _, s := range v.Servers {
+			if s.Zone == "zone-a" {
+				roles[s.Prefill]++
+			}
+		}
+		if least := min(roles[true], roles[false]); (least >= 3) != want {
+			t.Fatalf("got %v servers at home by role, want a case where three of each is %t", roles, want)
+		}
+		if got := v.LeavingPriceMs > spillover.MinPriceMs; got != want {
+			t.Errorf("got state %s with %v servers at home by role, want a price above the lowest: %t", v.Spillover, roles, want)
+		}
+	}
+}
+
 // Fails if an evacuated zone gets more than little as soon as it is back in service.
 func TestZoneBackInServiceGetsLittleAtFirst(t *testing.T) {
 	f := newZoneFleet(3, 4, 1)
--- a/spillover/policy.go
+++ b/spillover/policy.go
@@ -62,7 +62,7 @@
 	OneZone         State = "one-zone"         // the service has usable servers in one zone at most
 	FewHomeServers  State = "few-home-servers" // home has too few warm servers of a role
 	SeveralVersions State = "several-versions" // a request may be unable to run at home
-	Unheard         State = "unheard"          // no other router was heard lately
+	Unheard         State = "unheard"          // no other router, or none of home, was heard lately
 	AllFull         State = "all-full"         // no other zone has room, and home has little
 	Room            State = "room"             // home has room
 	Filling         State = "filling"
@@ -173,7 +173,7 @@
 		return nil, FewHomeServers
 	case v.Versions > 1:
 		return nil, SeveralVersions
-	case !heard:
+	case !heard || home.Heard && home.ReportAge >= v.silence():
 		return nil, Unheard
 	}
 	return home, ""
--- a/spillover/policy_test.go
+++ b/spillover/policy_test.go
@@ -94,6 +94,18 @@
 	}
 }
 
+// Fails if a router that no longer hears its own zone takes home for idle, since it knows the load of its own requests only.
+func TestPolicyIsOffWhereHomeIsNotHeard(t *testing.T) {
+	var p spillover.Policy
+	v := newView()
+	now := update(&p, start, v, 20)
+	v.Zones[0].ReportAge = 2 * time.Second
+	update(&p, now, v, 1)
+	if got, want := p.State(), spillover.Unheard; got != want || p.On() {
+		t.Errorf("got state %s, want %s", got, want)
+	}
+}
+
 // Fails if a sudden change of the load moves all routers to another price at once.
 func TestPriceMovesByBoundedSteps(t *testing.T) {
 	var p spillover.Policy
