spillover: the share of high prices moves slowly enough for old reports, and nothing is taken back

Cause: with demands of 1.4, 0.5 and 0.125 of three zones and reports one period old, the use of the first zone swung between 0.53 and 0.95: the share of requests that stay moved faster than its effect was seen. Routers took requests back from a full zone together, which swung a capacity of 64 between 49 and 65.

Change: the share goes a twenty-fourth of the way to its target in each period, its targets are less steep, and changes of the utilization up to 0.02 are ignored. A router may replace its requests in a full zone, and no more.

Test: TestLoadsOfZonesSettle, TestFullZoneGetsNoMore

--- a/spillover/policy.go
+++ b/spillover/policy.go
@@ -14,10 +14,12 @@
 	maxPriceMs        = 50.0       // price at any tie margin
 	ObjectiveFraction = 0.1        // of a request's latency objective, which the price may take at most
 	stayStep          = 0.125      // most by which the share of requests that pay the high price changes in a period
-	utilizationStep   = 0.04       // smaller changes of the utilization of home are ignored
+	stayGain          = 1.0 / 24   // part of the difference to its target by which the share changes; with more, it swings as reports are old
+	staySnap          = 0.01       // difference at which the share takes its target
+	utilizationStep   = 0.02       // smaller changes of the utilization of home are ignored
 	roomBelow, fullAt = 0.40, 0.75 // utilization of home at which the share of requests that pay the high price begins to fall, and at which it is 0
-	balancedBelow     = 0.60       // utilization of home up to which requests stay if the other zones are as busy as home
-	unevenAt          = 0.20       // difference of the utilization of home and of the least busy zone from which on that zone's load keeps no request at home
+	balancedBelow     = 0.50       // utilization of home up to which requests stay if the other zones are as busy as home
+	unevenAt          = 0.30       // difference of the utilization of home and of the least busy zone from which on that zone's load keeps no request at home
 	fullMargin        = 0.10       // by which the utilization of a zone must fall below fullAt until not all zones are full any more
 	minHomeServers    = 3          // of each role; with fewer, one busy server is a large part of home
 	freePart          = 0.5        // of the free capacity that is given out in a period, since a report may miss what the period before sent
@@ -27,7 +29,6 @@
 	silentIntervals   = 4                // the same in intervals between reports
 	maxSilence        = 10 * time.Second // without a report, from which on connections alone tell whether the zone's servers work
 	returnTime        = 5 * time.Second  // in which the part of a zone that is back grows to the full one
-	giveWayPart       = 32               // of this router's requests in a zone without free capacity, one in so many gives way in a period
 )
 
 // ZoneLoad is what a router knows of a service's servers in one zone.
@@ -216,14 +217,18 @@
 	return least
 }
 
-// moveShare moves the share of requests that pay the high price by at most one step towards what the utilization of home
-// calls for. While home is not nearly full, requests also stay because no other zone is less busy: two busy zones would only
+// moveShare moves the share of requests that pay the high price by a part of the way to what the utilization of home calls
+// for, and by at most one step. While home is not nearly full, requests also stay because no other zone is less busy: two busy zones would only
 // exchange their requests otherwise.
 func (p *Policy) moveShare(leastOther float64) {
 	room := fall(p.utilization, roomBelow, fullAt)
 	balanced := fall(p.utilization-leastOther, 0, unevenAt)
 	target := max(room, min(balanced, fall(p.utilization, balancedBelow, fullAt)))
-	p.stay += min(stayStep, max(-stayStep, target-p.stay))
+	if math.Abs(target-p.stay) < staySnap {
+		p.stay = target
+		return
+	}
+	p.stay += min(stayStep, max(-stayStep, stayGain*(target-p.stay)))
 }
 
 // fall falls linearly from 1 at from to 0 at to, and is constant outside of them.
@@ -279,11 +284,6 @@
 		z.limit, z.spare = 0, 0
 		return
 	}
-	if l.Free <= 0 {
-		z.limit = l.Running - round(float64(l.Running)/giveWayPart, v, period)
-		z.spare = z.limit
-		return
-	}
 	free := freePart * l.Free * (1 - min(1, float64(l.ReportAge)/float64(v.silence())))
 	if !z.openedAt.IsZero() {
 		free *= min(1, float64(now.Sub(z.openedAt))/float64(returnTime))
