serverload, placement: requests are placed by the load and speed that servers state

Cause: backend servers of some services state their running and waiting requests, their slots and how long work takes in each answer, but nothing read it. A router of a large fleet sees too few requests of each server to know its load. For plain services it counted only its own requests in flight.

Change: package serverload parses the statements and keeps them for each start of a server. It learns for each service how long a difference from the mean of a server holds, and compares the means with the median of the service. Placement adds the requests that are stated beyond those it knows of, multiplies the learned slowdown by the stated slowness, and chooses plain servers by both. Servers without statements are placed as before. Malformed statements are counted and logged at most once a minute for each server; changes of lasting slowness of 0.1 or more are logged.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -334,9 +334,11 @@
 }
 
 // clean periodically closes expired connections to backend servers, and all idle ones when the
-// context ends. It also measures how many backend servers name a limit, and what their responses hold.
+// context ends. It also measures how many backend servers name a limit or state their load, and what their responses hold, and logs
+// changes of their slowness.
 func (g *Gateway) clean(ctx context.Context) error {
 	limited := g.metrics.Gauge("limited_servers")
+	stating, slow := g.metrics.Gauge("servers_stating_load"), g.metrics.Gauge("slow_servers")
 	held, ended := g.metrics.Gauge("response_bytes_held"), g.metrics.Gauge("exchanges_ended_for_memory")
 	t := time.NewTicker(closeExpiredPeriod)
 	defer t.Stop()
@@ -348,6 +350,12 @@
 		case now := <-t.C:
 			g.upstream.CloseExpired(now)
 			limited.Update(float64(g.placer.LimitedServers()))
+			n, m := g.placer.LoadStatements(now)
+			stating.Update(float64(n))
+			slow.Update(float64(m))
+			for _, c := range g.placer.SlownessChanges() {
+				ingress.LogSlowness(g.logger, c)
+			}
 			held.Update(float64(g.upstream.BufferedBytes()))
 			ended.Update(float64(g.upstream.EndedForMemory()))
 		}
--- a/ingress/attempt.go
+++ b/ingress/attempt.go
@@ -59,8 +59,9 @@
 	x.sentTo = append(x.sentTo, g.ID())
 	ex, err := x.flow.Upstream.Send(ctx, g.Address(), r)
 	if err == nil && ex.Status() != http.StatusMisdirectedRequest { // that one would be from another server
-		c := g.RecordStatement(time.Now(), x.flow.Headers.statementOf(ex.Status(), ex.Header()))
-		x.flow.logStatement(x.meta.id, g, c)
+		st := x.flow.Headers.statementOf(ex.Status(), ex.Header())
+		c := g.RecordStatement(time.Now(), st)
+		x.flow.logStatement(x.meta.id, g, st, c)
 	}
 	return ex, err
 }
--- a/ingress/headers.go
+++ b/ingress/headers.go
@@ -12,6 +12,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"bulrushtally/placement"
+	"bulrushtally/serverload"
 	"bulrushtally/serverstatus"
 )
 
@@ -34,6 +35,7 @@
 	ResponseSeal     string   // set by a backend server on each of its successful responses
 	ServerLimit      string   // set by a backend server in need: requests per second that it takes from all routers together
 	ServerLeaving    string   // set to 1 by a backend server that leaves
+	ServerLoad       string   // set by a backend server: requests running and waiting, slots, and possibly how long work takes in percent, separated by commas
 	RetryAfter       string   // set by a backend server on a 503 response: seconds for which it wants no request from this router
 	NotForwarded     []string // further headers of callers that are not forwarded
 }
@@ -69,6 +71,12 @@
 // statementOf returns what a response says of the backend server that sent it.
 func (names *HeaderNames) statementOf(status int, h http.Header) placement.Statement {
 	st := placement.Statement{LimitPerSecond: names.limitOf(h), Leaving: strings.TrimSpace(h.Get(names.ServerLeaving)) == "1"}
+	if load := h.Get(names.ServerLoad); load != "" {
+		var ok bool
+		if st.Load, ok = serverload.Parse(load); !ok {
+			st.RejectedLoad = load
+		}
+	}
 	if status == http.StatusServiceUnavailable {
 		seconds, err := strconv.ParseFloat(strings.TrimSpace(h.Get(names.RetryAfter)), 64)
 		if err == nil && seconds > 0 { // false for NaN
--- a/ingress/log.go
+++ b/ingress/log.go
@@ -21,13 +21,15 @@
 	attempts  tally.Counter // sends to a backend server
 	lateDials tally.Counter // connections that were not made in time while this router was late itself
 	shed      tally.Counter // requests rejected or dropped before they were served
-	readTime  tally.Histogram
-	duration  tally.Histogram
+
+	rejectedLoads tally.Counter // statements of load by backend servers that were malformed or implausible
+	readTime      tally.Histogram
+	duration      tally.Histogram
 }
 
 func newFlowMetrics(s tally.Scope) flowMetrics {
 	buckets := tally.MustMakeExponentialDurationBuckets(time.Millisecond, 2, 15)
-	return flowMetrics{scope: s, attempts: s.Counter("attempts"), lateDials: s.Counter("dials_late"), shed: s.Counter("requests_shed"), readTime: s.Histogram("read_seconds", buckets), duration: s.Histogram("answer_seconds", buckets)}
+	return flowMetrics{scope: s, attempts: s.Counter("attempts"), lateDials: s.Counter("dials_late"), shed: s.Counter("requests_shed"), rejectedLoads: s.Counter("server_loads_rejected"), readTime: s.Histogram("read_seconds", buckets), duration: s.Histogram("answer_seconds", buckets)}
 }
 
 // requestRejected counts a request whose head or body was rejected.
@@ -85,7 +87,7 @@
 }
 
 // logStatement logs what is new in what an answer to a request says of the backend server.
-func (f *Flow) logStatement(request string, g *placement.Grant, c placement.StatementChange) {
+func (f *Flow) logStatement(request string, g *placement.Grant, st placement.Statement, c placement.StatementChange) {
 	if c.Limit != nil {
 		LogLimit(f.Logger, c.Limit)
 	}
@@ -95,6 +97,23 @@
 	if c.Pause > 0 {
 		f.Logger.Warn().Str("server", g.ID()).Int64("started_unix_ms", g.ServerStartedMs()).Str("request", request).Dur("pause_ms", c.Pause).Msg("server-paused")
 	}
+	if st.RejectedLoad != "" {
+		f.metrics.rejectedLoads.Inc(1)
+	}
+	if c.RejectedLoads > 0 {
+		f.Logger.Warn().Str("server", g.ID()).Int64("started_unix_ms", g.ServerStartedMs()).Str("request", request).
+			Str("statement", st.RejectedLoad[:min(len(st.RejectedLoad), maxLoggedStatementBytes)]).Int("rejected", c.RejectedLoads).Msg("server-load-rejected")
+	}
+}
+
+// maxLoggedStatementBytes is how much of a rejected statement of load is logged.
+const maxLoggedStatementBytes = 64
+
+// LogSlowness logs that a backend server is believed to be slower or faster than before.
+func LogSlowness(logger zerolog.Logger, c placement.SlownessChange) {
+	logger.Info().Str("server", c.Server).Int64("started_unix_ms", c.StartedMs).Float64("slowness", c.To).Float64("slowness_before", c.From).
+		Int("statements", c.Evidence.Statements).Dur("statement_age_ms", c.Evidence.Age).Float64("mean_percent", c.Evidence.Mean).
+		Float64("median_percent", c.Evidence.Median).Msg("server-slowness-changed")
 }
 
 // LogLimit logs that the limit of a backend server changed.
--- a/placement/grant.go
+++ b/placement/grant.go
@@ -205,5 +205,5 @@
 	}
 	g.customer.addServed(g.placement.shares.bucket(now), -g.request.cost(), g.charge)
 	s := g.server
-	s.busyUntil = s.busyUntil.Add(-s.prefillTime(g.prefillCost))
+	s.busyUntil = s.busyUntil.Add(-s.prefillTime(now, g.prefillCost))
 }
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -132,6 +132,7 @@
 	shares          *shares
 	peers           map[string]*peerState // by router
 	availableAt     time.Time             // last update of shares.available
+	slownessChanges []SlownessChange      // to be told
 }
 
 // New returns a Placement without services and backend servers.
@@ -201,6 +202,7 @@
 		s.busyUntil = now
 		s.failures, s.lateDials, s.downUntil, s.maybeRestarted = 0, 0, time.Time{}, false
 		s.limit.Forget()
+		s.stated.Forget()
 		s.markCold(now, s.pool.service.ColdTime)
 	}
 	if s.failures > 0 && entry.ColdFor > 0 {
@@ -370,7 +372,7 @@
 	s.kvTokens += req.PromptTokens + req.OutputTokens
 	s.recordSent(now, req.cost())
 	if req.PromptTokens > 0 {
-		g.queuedCost = milliseconds(s.prefillWait(now)) / (pl.msPerToken * s.slowdown)
+		g.queuedCost = milliseconds(s.prefillWait(now)) / (pl.msPerToken * s.slowness(now))
 		s.addPrefill(now, c.prefillCost)
 		s.pendingCost += c.prefillCost
 		s.sentTokens += uint64(c.prefillCost)
--- a/placement/pool.go
+++ b/placement/pool.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"bulrushtally/route"
+	"bulrushtally/serverload"
 )
 
 // Initial values and limits of the prefill model of a service. The initial values hold
@@ -72,6 +73,8 @@
 	idleSpareFraction float64            // fraction of the spare capacity that customers far above their fair share may use too, because servers are idle
 	kvHolders         map[uint64]*server // by prefix: server other than the owner that held it last
 	admitted          map[string]bool    // versions at which streams may begin
+	stated            serverload.Service // what its servers' statements of load have in common
+	loadStatedAt      time.Time          // of the last statement of a load; zero if there was none
 }
 
 // newPool returns a pool without servers.
@@ -113,6 +116,7 @@
 
 // choose returns the best server for a request, or false if none can take it now.
 func (p *pool) choose(now time.Time, w *waiter) (candidate, bool) {
+	p.refreshLoads(now)
 	if p.service.ServesModels() {
 		return p.chooseModelServer(now, w)
 	}
@@ -220,7 +224,8 @@
 		return
 	}
 	s.decaySlowdown(now)
-	running, tokens := s.load()
+	_, tokens := s.load()
+	running := s.expectedRunning(now)
 	if running >= int(sr.slotFraction*float64(s.slotCount())) || tokens+req.PromptTokens+req.OutputTokens > int(maxKVFraction*float64(p.service.KVCapacity)) {
 		rejections.Full++
 		return
@@ -285,7 +290,7 @@
 		c.prefillTokens = max(1, req.PromptTokens-req.SharedTokens())
 	}
 	c.prefillCost = prefillCost(req.PromptTokens, c.prefillTokens)
-	prefill := s.prefillTime(c.prefillCost)
+	prefill := s.prefillTime(now, c.prefillCost)
 	c.prefillMs = milliseconds(prefill)
 	c.firstEvent = s.prefillWait(now) + prefill + time.Duration(p.baseMs*float64(time.Millisecond))
 	c.cost = milliseconds(c.firstEvent) + recomputeCostMs*float64(c.missingTokens) + runningStreamCostMs*float64(running)
@@ -304,20 +309,17 @@
 	return float64(missing) * (1 + attentionGrowth*(float64(prompt)-float64(missing)/2))
 }
 
-// choosePlainServer returns the server with the lowest load, weighted by its error rate,
-// among those with a free slot. Customers above their fair share leave one slot free.
+// choosePlainServer returns the server with the lowest load, weighted by its error rate and, where servers state their load, by
+// its slowness, among those with a free slot. Customers above their fair share leave one slot free.
 func (p *pool) choosePlainServer(now time.Time, w *waiter) (candidate, bool) {
 	req, spareOnly := w.request, w.spareOnly()
 	var best candidate
-	found, ties := false, 0
+	found, ties, stated := false, 0, p.usesLoadStatements(now)
 	for _, s := range p.servers {
 		if !s.usable(now) || !s.fits(now, req) || req.wasTried(s.ID) || !p.placement.withinColdRate(now, s) || !p.placement.withinLimit(now, s) {
 			continue
 		}
-		running := s.running
-		if p.placement.summaryInterval < plainRequestTime {
-			running, _ = s.load()
-		}
+		running := s.knownRunning()
 		slots := s.slotCount()
 		if spareOnly {
 			slots = max(1, slots-1)
@@ -326,7 +328,11 @@
 			continue
 		}
 		c := candidate{server: s}
-		c.cost = float64(running+1) / float64(s.slotCount()) * (0.3 + s.errorRate)
+		if stated {
+			c.cost = s.statedCost(now) * (0.3 + s.errorRate)
+		} else {
+			c.cost = float64(running+1) / float64(s.slotCount()) * (0.3 + s.errorRate)
+		}
 		switch {
 		case !found || c.cost < best.cost:
 			best, found, ties = c, true, 1
--- a/placement/roles.go
+++ b/placement/roles.go
@@ -83,7 +83,7 @@
 	}
 	utilization := 0.0
 	for _, s := range usable {
-		running, _ := s.load()
+		running := s.expectedRunning(now)
 		utilization += max(s.recentPrefill.sum(now, p.eventGapMs)/p.eventGapMs, float64(running)/float64(s.slotCount()))
 	}
 	return maxIdleSpareFraction * (1 - ramp(utilization/float64(len(usable)), busyFrom, busyTo))
@@ -118,7 +118,8 @@
 		if s.prefillServer || s == g.server || g.version == "" || s.certainVersion(now) != g.version || !s.usable(now) || s.cold(now) || !p.withinLimit(now, s) {
 			continue
 		}
-		running, tokens := s.load()
+		_, tokens := s.load()
+		running := s.expectedRunning(now)
 		if running >= s.slotCount() || tokens+g.request.PromptTokens+g.request.OutputTokens > int(maxDecodeKVFraction*float64(pl.service.KVCapacity)) {
 			continue
 		}
--- a/placement/server.go
+++ b/placement/server.go
@@ -8,6 +8,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"bulrushtally/serverlimit"
+	"bulrushtally/serverload"
 	"bulrushtally/serverstatus"
 )
 
@@ -73,7 +74,12 @@
 	errorSamples int         // number of attempts in errorRate
 	coldRequests eventWindow // requests sent while the server was cold
 	limit        serverlimit.Limit
-	status       *serverstatus.Status // outlives the listing
+	stated       serverload.Server // load and speed, by its own statements
+	toldSlowness float64           // lasting slowness that was told last
+
+	rejectedLoads      int // statements of load that were rejected since rejectedLoadToldAt
+	rejectedLoadToldAt time.Time
+	status             *serverstatus.Status // outlives the listing
 
 	sentTokens     uint64 // prefill tokens sent by this router, a counter in its summaries
 	zoneSentTokens uint64 // the same for the other routers of its zone, from their summaries
@@ -89,7 +95,7 @@
 // newServer returns a listed server without load.
 func newServer(p *pool, entry ServerEntry) *server {
 	return &server{
-		ServerEntry: entry, hash: xxhash.Sum64String(entry.ID), pool: p, listed: true, slowdown: 1, remoteLoads: map[string]remoteLoad{},
+		ServerEntry: entry, hash: xxhash.Sum64String(entry.ID), pool: p, listed: true, slowdown: 1, toldSlowness: 1, remoteLoads: map[string]remoteLoad{},
 		segments: newSegmentCache(p.segmentCacheTokens()), status: p.placement.statuses.Of(entry.ID),
 	}
 }
@@ -121,7 +127,7 @@
 // to it. It lowers busyUntil to what the requests without a first event can take at most,
 // which limits the error of the model.
 func (s *server) prefillWait(now time.Time) time.Duration {
-	latest := now.Add(s.prefillTime(s.pendingCost + float64(s.remoteTotal.pendingPrefill)))
+	latest := now.Add(s.prefillTime(now, s.pendingCost+float64(s.remoteTotal.pendingPrefill)))
 	if s.busyUntil.After(latest) {
 		s.busyUntil = latest
 	}
@@ -133,7 +139,7 @@
 	if s.cacheFilledAt.IsZero() {
 		s.cacheFilledAt = now.Add(cacheFillTime)
 	}
-	duration := s.prefillTime(tokens)
+	duration := s.prefillTime(now, tokens)
 	s.busyUntil = later(s.busyUntil, now).Add(duration)
 	s.recentPrefill.add(now, s.pool.eventGapMs, milliseconds(duration))
 }
@@ -165,8 +171,8 @@
 }
 
 // prefillTime returns how long the server takes for a prefill cost in tokens.
-func (s *server) prefillTime(tokens float64) time.Duration {
-	return time.Duration(tokens * s.pool.msPerToken * s.slowdown * float64(time.Millisecond))
+func (s *server) prefillTime(now time.Time, tokens float64) time.Duration {
+	return time.Duration(tokens * s.pool.msPerToken * s.slowness(now) * float64(time.Millisecond))
 }
 
 // reservedForOther reports whether the server is reserved for another request which w
@@ -204,6 +210,7 @@
 	s.downUntil = now.Add(backoff)
 	s.maybeRestarted = true // it may have restarted by the time it can be reached
 	s.doubtedAt = now
+	s.stated.Forget()
 }
 
 // lateDialsForFailure is how many connections in a row must fail while this router is late itself until that counts as a
--- a/placement/statement.go
+++ b/placement/statement.go
@@ -4,8 +4,11 @@
 // other routers of it.
 
 import (
+	"math"
+	"math/rand/v2"
 	"time"
 
+	"bulrushtally/serverload"
 	"bulrushtally/serverstatus"
 )
 
@@ -14,6 +17,8 @@
 	LimitPerSecond float64       // requests that it takes from all routers together; 0 if it names no limit
 	Leaving        bool          // it stops soon and wants no more requests
 	Pause          time.Duration // for which it wants no request from this router; 0 if it asks for none
+	Load           serverload.Statement
+	RejectedLoad   string // statement of load that is malformed or implausible; "" if there is none
 }
 
 // StatementChange is what a statement changes in what the router knows of the server.
@@ -21,8 +26,13 @@
 	Limit  *LimitChange  // nil if that is as before
 	Leaves bool          // that it leaves is new
 	Pause  time.Duration // that is new; 0 if there is none
+
+	RejectedLoads int // number of rejected statements of load since the last one that was returned; 0 if none is to be told
 }
 
+// rejectedLoadPeriod is the least time between two log lines about rejected statements of load of one server.
+const rejectedLoadPeriod = time.Minute
+
 // RecordStatement records what an answer of the backend server says of it. That is about the server that the request was
 // placed on: the caller makes sure that no other one has answered.
 func (g *Grant) RecordStatement(now time.Time, st Statement) (c StatementChange) {
@@ -33,6 +43,17 @@
 	if s.StartedMs == g.startedMs && s.limit.RecordAnswer(now, g.sentAt, st.LimitPerSecond) {
 		c.Limit = s.limitChange(now, false)
 	}
+	if s.StartedMs == g.startedMs && st.Load.Valid() {
+		s.pool.loadStatedAt = now
+		s.stated.Record(now, &s.pool.stated, st.Load, s.knownRunning())
+	}
+	if st.RejectedLoad != "" {
+		s.rejectedLoads++
+		if now.Sub(s.rejectedLoadToldAt) >= rejectedLoadPeriod {
+			c.RejectedLoads = s.rejectedLoads
+			s.rejectedLoads, s.rejectedLoadToldAt = 0, now
+		}
+	}
 	if st.Leaving {
 		c.Leaves = s.status.RecordLeaving(now, g.startedMs)
 	}
@@ -57,3 +78,115 @@
 	defer p.mu.Unlock()
 	return p.statuses.Merge(now, reports, sameZone)
 }
+
+// loadStatementTime is how long after a statement of load the servers of a pool are compared by such statements.
+const loadStatementTime = 10 * time.Second
+
+// usesLoadStatements reports whether servers of the pool have stated their load lately.
+func (p *pool) usesLoadStatements(now time.Time) bool {
+	return now.Sub(p.loadStatedAt) < loadStatementTime
+}
+
+// refreshLoads updates what the statements of the pool's servers are compared with.
+func (p *pool) refreshLoads(now time.Time) {
+	if !p.stated.RefreshDue(now) || p.loadStatedAt.IsZero() {
+		return
+	}
+	p.stated.Refresh(now, func(yield func(*serverload.Server) bool) {
+		for _, s := range p.servers {
+			if !yield(&s.stated) {
+				return
+			}
+		}
+	})
+	for _, s := range p.servers {
+		if slowness := s.stated.Lasting(); math.Abs(slowness-s.toldSlowness) >= slownessStep && len(p.placement.slownessChanges) < maxSlownessChanges {
+			p.placement.slownessChanges = append(p.placement.slownessChanges, s.slownessChange(now, slowness))
+			s.toldSlowness = slowness
+		}
+	}
+}
+
+// SlownessChange is a change of what the router believes of how long a server takes against the others of its service.
+type SlownessChange struct {
+	Server    string
+	StartedMs int64
+	From, To  float64 // time that work takes, against the median of the service
+	Evidence  serverload.Evidence
+}
+
+// Bounds of the changes of slowness that are told.
+const (
+	slownessStep       = 0.1 // least change
+	maxSlownessChanges = 32  // that are kept between two calls of SlownessChanges; the others are told later
+)
+
+func (s *server) slownessChange(now time.Time, to float64) SlownessChange {
+	return SlownessChange{Server: s.ID, StartedMs: s.StartedMs, From: s.toldSlowness, To: to, Evidence: s.stated.Evidence(now, &s.pool.stated)}
+}
+
+// SlownessChanges returns the changes of lasting slowness since the last call, at most maxSlownessChanges.
+func (p *Placement) SlownessChanges() []SlownessChange {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	changes := p.slownessChanges
+	p.slownessChanges = nil
+	return changes
+}
+
+// LoadStatements returns how many servers have stated a load lately, and how many of them are slow, at least by slownessStep.
+func (p *Placement) LoadStatements(now time.Time) (stated, slow int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, s := range p.servers {
+		if s.stated.Stated(now) {
+			stated++
+		}
+		if s.stated.Lasting() >= 1+slownessStep {
+			slow++
+		}
+	}
+	return stated, slow
+}
+
+// knownRunning returns the requests in flight at the server that this router knows of, its own and reported ones that are
+// not likely to have ended.
+func (s *server) knownRunning() int {
+	if !s.pool.service.ServesModels() && s.pool.placement.summaryInterval >= plainRequestTime {
+		return s.running
+	}
+	running, _ := s.load()
+	return running
+}
+
+// expectedRunning returns the requests at the server by what it stated and by what the router knows of since then.
+func (s *server) expectedRunning(now time.Time) int {
+	known := s.knownRunning()
+	if !s.pool.usesLoadStatements(now) {
+		return known
+	}
+	unreported, _ := s.stated.Unreported(now, &s.pool.stated)
+	return max(s.running, known+int(math.Round(unreported)))
+}
+
+// slowness returns the time that prefill takes at the server against the pool's model, by observation and by its statements.
+func (s *server) slowness(now time.Time) float64 {
+	if !s.pool.usesLoadStatements(now) {
+		return s.slowdown
+	}
+	return min(maxSlowdown, s.slowdown*s.stated.Slowness(now, &s.pool.stated))
+}
+
+// statedCost returns the cost of a request at a plain server, by its slowness and its load. Where the load is uncertain, it is
+// chosen at random from what it may be, so that routers with the same old statements do not all choose the same server.
+func (s *server) statedCost(now time.Time) float64 {
+	unreported, deviation := s.stated.Unreported(now, &s.pool.stated)
+	unreported += deviation * loadNoise * (2*rand.Float64() - 1)
+	running := max(float64(s.running), float64(s.knownRunning())+unreported)
+	load := (running + 1) / float64(s.slotCount())
+	return s.stated.Slowness(now, &s.pool.stated) * (1 + load*load)
+}
+
+// loadNoise is the bound of the random difference in load, in standard deviations. In simulated time, with 86 routers and 90 servers of
+// uneven speed, a bound of 1.73 made 0.40 of the requests late at a utilization of 0.9, and one of 0.43 made 0.004 late at 0.95.
+const loadNoise = 0.43
--- a/placement/summary.go
+++ b/placement/summary.go
@@ -187,6 +187,7 @@
 	}
 	if unreachable && s.failures == 0 && !s.cold(now) {
 		s.maybeRestarted = true
+		s.stated.Forget()
 	}
 }
 
--- /dev/null
+++ b/serverload/server_test.go
@@ -0,0 +1,200 @@
+package serverload_test
+
+import (
+	"math"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"bulrushtally/serverload"
+)
+
+var start = time.Unix(1e9, 0)
+
+// service is servers whose statements are recorded.
+type service struct {
+	serverload.Service
+	servers []*serverload.Server
+}
+
+func newService(servers int) *service {
+	s := &service{}
+	for range servers {
+		s.servers = append(s.servers, &serverload.Server{})
+	}
+	return s
+}
+
+// record records a statement of a server and refreshes the service if that is due.
+func (s *service) record(now time.Time, i int, st serverload.Statement, known int) {
+	s.servers[i].Record(now, &s.Service, st, known)
+	if s.RefreshDue(now) {
+		s.Refresh(now, slices.Values(s.servers))
+	}
+}
+
+// Fails if a router that sees few requests of each server takes noise for a lasting difference, or does not find the lasting
+// one below noise that changes between any two statements.
+func TestLastingSlownessIsFoundInNoise(t *testing.T) {
+	r := rand.New(rand.NewPCG(1, 1))
+	s := newService(40)
+	usual := func(i int) float64 { return 100 * (0.8 + 0.02*float64(i)) } // 0.8 to 1.58, median 1.19
+	now := start
+	for range 40 { // one statement per server and 2 s
+		for i := range s.servers {
+			now = now.Add(50 * time.Millisecond)
+			s.record(now, i, serverload.Statement{Running: 3, Slots: 6, Percent: int(usual(i) * (0.6 + 0.8*r.Float64()))}, 0)
+		}
+	}
+	s.Refresh(now, slices.Values(s.servers))
+	for i, x := range s.servers {
+		if got, want := x.Lasting(), usual(i)/119; math.Abs(got-want) > 0.2 {
+			t.Errorf("server %d: got a slowness of %.2f, want %.2f", i, got, want)
+		}
+		if got, want := x.Slowness(now.Add(500*time.Millisecond), &s.Service), usual(i)/119; math.Abs(got-want) > 0.25 {
+			t.Errorf("server %d: got a slowness of %.2f half a second after the statement, want %.2f without its noise", i, got, want)
+		}
+	}
+}
+
+// Fails if a figure is trusted longer than it holds, or not trusted while it does.
+func TestFiguresAreTrustedWhileTheyHold(t *testing.T) {
+	for _, period := range []time.Duration{100 * time.Millisecond, 4 * time.Second} {
+		r := rand.New(rand.NewPCG(1, uint64(period)))
+		s := newService(10)
+		moments := map[int64]int{}
+		at := func(i int, now time.Time) int {
+			key := int64(now.Sub(start)/period)*16 + int64(i)
+			if moments[key] == 0 {
+				moments[key] = 60 + 80*r.IntN(2)
+			}
+			return moments[key]
+		}
+		now := start
+		for range 8000 {
+			now = now.Add(5 * time.Millisecond)
+			i := r.IntN(len(s.servers))
+			s.record(now, i, serverload.Statement{Running: 3, Slots: 6, Percent: at(i, now)}, 0)
+		}
+		s.record(now, 0, serverload.Statement{Running: 3, Slots: 6, Percent: 140}, 0)
+		x := s.servers[0]
+		differs := func(age time.Duration) float64 {
+			return x.Slowness(now.Add(age), &s.Service)/x.Lasting() - 1
+		}
+		fresh, old := differs(time.Millisecond), differs(500*time.Millisecond)
+		if fresh < 0.25 {
+			t.Errorf("period %v: got a slowness %.2f above the mean just after the statement, want at least 0.25 of the 0.4", period, fresh)
+		}
+		if holds := period > time.Second; (old > 0.2) != holds {
+			t.Errorf("period %v: got a slowness %.2f above the mean half a second later, want it to hold: %v", period, old, holds)
+		}
+	}
+}
+
+// Fails if the load that other routers send is not seen, if it is counted beside requests that the router knows of, or if an old
+// statement is trusted for ever.
+func TestUnreportedRequests(t *testing.T) {
+	s := newService(2)
+	now := start
+	for i := range 200 {
+		now = now.Add(10 * time.Millisecond)
+		s.record(now, i%2, serverload.Statement{Running: 5, Waiting: 1, Slots: 6}, 1+i%2)
+	}
+	for i, want := range []float64{5, 4} {
+		if got, _ := s.servers[i].Unreported(now, &s.Service); math.Abs(got-want) > 0.1 {
+			t.Errorf("server %d: got %.2f unreported requests, want %v", i, got, want)
+		}
+	}
+	later := now.Add(time.Minute)
+	s.Refresh(later, slices.Values(s.servers))
+	if got, _ := s.servers[0].Unreported(later, &s.Service); got != 0 || s.servers[0].Stated(later) {
+		t.Errorf("got %.2f unreported requests a minute after the last statement, want none", got)
+	}
+}
+
+// Fails if a server that states nothing seems empty beside busy ones that do.
+func TestServerWithoutStatementIsTakenAsTheOthers(t *testing.T) {
+	s := newService(3)
+	now := start
+	for i := range 20 {
+		now = now.Add(100 * time.Millisecond)
+		s.record(now, i%2, serverload.Statement{Running: 5, Slots: 6}, 0)
+	}
+	s.Refresh(now, slices.Values(s.servers))
+	if got, _ := s.servers[2].Unreported(now, &s.Service); math.Abs(got-5) > 0.1 {
+		t.Errorf("got %.2f unreported requests, want 5 as at the others", got)
+	}
+}
+
+// Fails if statements of before a restart count after it, or if a statement that is handled late overwrites a newer one.
+func TestOldStatementsDoNotCount(t *testing.T) {
+	s := newService(2)
+	for i := range 100 {
+		now := start.Add(time.Duration(i) * 20 * time.Millisecond)
+		s.record(now, i%2, serverload.Statement{Running: 2, Slots: 6, Percent: 60 + 80*(i%2)}, 0)
+	}
+	now := start.Add(2 * time.Second)
+	before := *s.servers[0]
+	s.record(start, 0, serverload.Statement{Running: 24, Slots: 6, Percent: 2000}, 0)
+	if *s.servers[0] != before {
+		t.Error("got a change by a statement that is older than the last one, want none")
+	}
+	if got := s.servers[1].Slowness(now, &s.Service); got < 1.2 {
+		t.Errorf("got a slowness of %.2f, want at least 1.2 before the restart", got)
+	}
+	s.servers[1].Forget()
+	if got := s.servers[1].Slowness(now, &s.Service); got != 1 || s.servers[1].Stated(now) {
+		t.Errorf("got a slowness of %.2f after the restart, want 1", got)
+	}
+}
+
+// Fails if any order of plausible statements and times gives an estimate without bounds.
+func TestEstimatesAreBounded(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s := newService(3)
+		now := start
+		for range rapid.IntRange(1, 60).Draw(t, "statements") {
+			now = now.Add(time.Duration(rapid.Int64Range(-int64(time.Second), int64(time.Minute)).Draw(t, "elapsed")))
+			st := serverload.Statement{Running: rapid.IntRange(0, 24).Draw(t, "running"), Waiting: rapid.IntRange(0, 100).Draw(t, "waiting"), Slots: 6, Percent: rapid.SampledFrom([]int{0, 10, 100, 2000}).Draw(t, "percent")}
+			s.record(now, rapid.IntRange(0, 2).Draw(t, "server"), st, rapid.IntRange(0, 200).Draw(t, "known"))
+			for _, x := range s.servers {
+				slowness := x.Slowness(now, &s.Service)
+				requests, deviation := x.Unreported(now, &s.Service)
+				if !(slowness >= 0.1 && slowness <= 10) || !(math.Abs(requests) <= 400) || !(deviation >= 0 && deviation <= 400) {
+					t.Fatalf("got a slowness of %v, %v requests and a deviation of %v, want them bounded", slowness, requests, deviation)
+				}
+			}
+		}
+	})
+}
+
+// BenchmarkEstimate measures what one decision asks of 140 servers.
+func BenchmarkEstimate(b *testing.B) {
+	s := newService(140)
+	now := start
+	for i := range 2800 {
+		now = now.Add(time.Millisecond)
+		s.record(now, i%140, serverload.Statement{Running: 5, Slots: 6, Percent: 80 + i%40}, 1)
+	}
+	b.ReportAllocs()
+	for b.Loop() {
+		for _, x := range s.servers {
+			x.Unreported(now, &s.Service)
+			x.Slowness(now, &s.Service)
+		}
+	}
+}
+
+// BenchmarkRecord measures what one answer costs.
+func BenchmarkRecord(b *testing.B) {
+	s := newService(140)
+	now := start
+	b.ReportAllocs()
+	for i := 0; b.Loop(); i++ {
+		now = now.Add(time.Millisecond)
+		s.record(now, i%140, serverload.Statement{Running: 5, Slots: 6, Percent: 80 + i%40}, 1)
+	}
+}
