--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -336,10 +336,11 @@
 }
 
 // clean periodically closes expired connections to backend servers, and all idle ones when the
-// context ends. It also measures how many backend servers name a limit, what their responses
-// hold, and which roles model servers have.
+// context ends. It also measures how many backend servers name a limit or state their load, what their responses hold and
+// which roles model servers have, and logs changes of their roles and of their slowness.
 func (g *Gateway) clean(ctx context.Context) error {
 	limited, unsplit := g.metrics.Gauge("limited_servers"), g.metrics.Gauge("services_without_prefill_servers")
+	stating, slow := g.metrics.Gauge("servers_stating_load"), g.metrics.Gauge("slow_servers")
 	held, ended := g.metrics.Gauge("response_bytes_held"), g.metrics.Gauge("exchanges_ended_for_memory")
 	t := time.NewTicker(closeExpiredPeriod)
 	defer t.Stop()
@@ -353,6 +354,12 @@
 			limited.Update(float64(g.placer.LimitedServers()))
 			unsplit.Update(float64(g.placer.ServicesWithoutPrefillServers()))
 			g.logRoles()
+			n, m := g.placer.LoadStatements(now)
+			stating.Update(float64(n))
+			slow.Update(float64(m))
+			for _, c := range g.placer.SlownessChanges() {
+				ingress.LogSlowness(g.logger, c)
+			}
 			held.Update(float64(g.upstream.BufferedBytes()))
 			ended.Update(float64(g.upstream.EndedForMemory()))
 		}
--- a/ingress/attempt.go
+++ b/ingress/attempt.go
@@ -74,8 +74,9 @@
 		return nil, errRevoked
 	}
 	if err == nil && ex.Status() != http.StatusMisdirectedRequest { // that one would be from another server
-		c := g.RecordStatement(time.Now(), x.flow.Headers.statementOf(ex.Status(), ex.Header()))
-		x.flow.logStatement(x.meta.id, g, c)
+		st := x.flow.Headers.statementOf(ex.Status(), ex.Header())
+		c := g.RecordStatement(time.Now(), st)
+		x.flow.logStatement(x.meta.id, g, st, c)
 	}
 	return ex, err
 }
