settings: bounds of roll-outs

Roll-outs need the bounds of a bad version's exposure: expose-share, expose-slack and rollback-ms of [bounds]. A deployment that lacks them has empty values in its settings file, which leaves roll-outs off.

Tests: settings: empty, partial, fractional and faulty values.

--- a/settings/gateway.go
+++ b/settings/gateway.go
@@ -44,8 +44,15 @@
 	ColdRateFactor     float64       // factor on the request rate that a cold backend server can sustain
 	ColdRateSlack      int           // requests per second to a cold backend server beyond that rate
 	SpareRouters       int           // routers that may be added; fleet-wide limits are divided as if they were running
+
+	ExposeShare   float64       // fraction of a service's requests that a bad version may get during its roll-out; 0 if none is given
+	ExposeSlack   int           // requests of the whole fleet beyond it
+	RollbackDelay time.Duration // from a version's 50th bad answer until it gets no more requests; 0 if none is given
 }
 
+// RollsOut reports whether the router takes part in roll-outs: the bounds of a bad version's exposure are given.
+func (g *Gateway) RollsOut() bool { return g.ExposeShare > 0 && g.RollbackDelay > 0 }
+
 // gatewayKeySpec describes a key of a gateway's settings file. apply stores a value; if
 // the value is invalid, it returns an instruction to the operator.
 type gatewayKeySpec struct {
@@ -86,6 +93,9 @@
 	{"bounds", "retry-slack", "50", "retries of the whole fleet per window beyond retry-ratio", gatewayFloorSetter(func(g *Gateway) *int { return &g.RetrySlack }, 0, 1<<20)},
 	{"bounds", "cold-over", "1.5", "factor on the request rate that a cold backend server can sustain", gatewayFloatSetter(func(g *Gateway) *float64 { return &g.ColdRateFactor }, 0, 100)},
 	{"bounds", "cold-slack", "5", "requests per second to a cold backend server beyond that rate", gatewayFloorSetter(func(g *Gateway) *int { return &g.ColdRateSlack }, 0, 1<<20)},
+	{"bounds", "expose-share", "", "maximum fraction of a service's requests that a bad version gets during its roll-out; no roll-outs if empty", gatewayOptionalSetter(gatewayFloatSetter(func(g *Gateway) *float64 { return &g.ExposeShare }, 0, 1))},
+	{"bounds", "expose-slack", "", "requests of the whole fleet to a bad version beyond expose-share", gatewayOptionalSetter(gatewayFloorSetter(func(g *Gateway) *int { return &g.ExposeSlack }, 0, 1<<20))},
+	{"bounds", "rollback-ms", "", "maximum time from a version's 50th bad answer until it gets no more requests, in ms; no roll-outs if empty", gatewayOptionalSetter(gatewayMillisSetter(func(g *Gateway) *time.Duration { return &g.RollbackDelay }))},
 }
 
 func checkIP(value string) string {
@@ -149,6 +159,16 @@
 	}
 }
 
+// gatewayOptionalSetter accepts the empty string too, which leaves the field at 0.
+func gatewayOptionalSetter(apply func(*Gateway, string) string) func(*Gateway, string) string {
+	return func(g *Gateway, value string) string {
+		if value == "" {
+			return ""
+		}
+		return apply(g, value)
+	}
+}
+
 // gatewayDurationSetter accepts positive numbers of a unit of time, up to 1e7.
 func gatewayDurationSetter(field func(*Gateway) *time.Duration, unit time.Duration) func(*Gateway, string) string {
 	return func(g *Gateway, value string) string {
--- a/settings/gateway_test.go
+++ b/settings/gateway_test.go
@@ -85,3 +85,22 @@
 		}
 	}
 }
+
+// A deployment without the bounds of roll-outs, whose settings file has the keys without values, did not start.
+func TestRollOutsAreOffWithoutTheirBounds(t *testing.T) {
+	for _, text := range []string{"", "expose-share =\nexpose-slack =\nrollback-ms =\n", "expose-share = 0.1\n", "rollback-ms = 5000\n"} {
+		g, err := settings.ParseGateway([]byte(validGateway + text))
+		if err != nil || g.RollsOut() {
+			t.Errorf("%q: got error %v and roll-outs, want none", text, err)
+		}
+	}
+	g, err := settings.ParseGateway([]byte(validGateway + "expose-share = 0.1\nexpose-slack = 50.5\nrollback-ms = 5000\n"))
+	if err != nil || !g.RollsOut() || g.ExposeShare != 0.1 || g.ExposeSlack != 50 || g.RollbackDelay != 5*time.Second {
+		t.Errorf("got %+v and error %v, want roll-outs with 0.1, 50 and 5 s", g, err)
+	}
+	for _, odd := range []string{"expose-share = 1.5", "expose-share = NaN", "expose-slack = -1", "rollback-ms = 0"} {
+		if _, err := settings.ParseGateway([]byte(validGateway + odd + "\n")); err == nil {
+			t.Errorf("got %q accepted, want an error", odd)
+		}
+	}
+}
