placement: a roll-out decides which versions a request may go to

Until now any request without a stream's version went to any server. A roll-out has to keep requests off a version on trial, off one that was found bad, and off the old ones once their servers are to stop. SetRollout states how far it is, and Request has a rule; the search, the owners of shared segments and migrations respect both, and a request that waits follows the roll-out. An attempt can report its end, with the time that the service's servers take for it at this load; the server's own slowdown is left out, by which a slow version would excuse itself.

--- a/placement/grant.go
+++ b/placement/grant.go
@@ -30,6 +30,8 @@
 	id                 string
 	startedMs          int64  // start time of the server in Unix milliseconds; 0 if unknown
 	version            string // of the server's software; "" if it was not certain
+	serverVersion      string // of the server's software by its entry
+	newVersion         bool   // that is the new version of a roll-out
 	address            string
 	kvFetchAddress     string // server to fetch KV cache from, or ""
 	sentAt             time.Time
@@ -43,6 +45,7 @@
 	migrated           bool      // prefill ran on another server
 	charge             charge    // what its cost was charged to
 	ended              bool      // End or EndUnsent was called
+	onEnd              func(Ending)
 }
 
 // ID returns the ID of the backend server.
@@ -135,10 +138,12 @@
 func (g *Grant) End(now time.Time, r AttemptResult) (ejected bool) {
 	p := g.placement
 	p.mu.Lock()
-	defer p.mu.Unlock()
 	if g.ended {
+		p.mu.Unlock()
 		return false
 	}
+	defer g.callOnEnd(g.ending(now, r, false))
+	defer p.mu.Unlock()
 	g.release()
 	s := g.server
 	switch r {
@@ -176,10 +181,12 @@
 func (g *Grant) EndUnsent(now time.Time) {
 	p := g.placement
 	p.mu.Lock()
-	defer p.mu.Unlock()
 	if g.ended {
+		p.mu.Unlock()
 		return
 	}
+	defer g.callOnEnd(g.ending(now, Declined, true))
+	defer p.mu.Unlock()
 	g.release()
 	g.refund(now)
 	p.dispatch(now, g.server.pool)
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -31,7 +31,8 @@
 	KeepsVersion     bool     // the response is a stream that goes on only at the version that began it, so it begins only at an admitted one
 	Version          string   // the version that began the stream; "" before it began
 	TakenUp          bool     // the caller takes up a stream that is known to have begun, which was within its customer's share then
-	OnWait           func()   // called, if not nil, when the request is queued
+	Rule             VersionRule
+	OnWait           func() // called, if not nil, when the request is queued
 
 	sharedTokens int // cached result of SharedTokens
 }
@@ -356,7 +357,7 @@
 	s, req := c.server, w.request
 	g := &Grant{
 		placement: p, server: s, request: req, customer: w.customer,
-		id: s.ID, startedMs: s.StartedMs, version: s.certainVersion(now), address: s.Address, sentAt: now, prefillTokens: c.prefillTokens, prefillCost: c.prefillCost, expectedFirstEvent: c.firstEvent,
+		id: s.ID, startedMs: s.StartedMs, version: s.certainVersion(now), serverVersion: s.Version, newVersion: s.Version == pl.rollout.To && s.Version != "", address: s.Address, sentAt: now, prefillTokens: c.prefillTokens, prefillCost: c.prefillCost, expectedFirstEvent: c.firstEvent,
 	}
 	if !c.isOwner {
 		pl.setKVHolder(req.Segments, s)
--- a/placement/pool.go
+++ b/placement/pool.go
@@ -72,6 +72,7 @@
 	idleSpareFraction float64            // fraction of the spare capacity that customers far above their fair share may use too, because servers are idle
 	kvHolders         map[uint64]*server // by prefix: server other than the owner that held it last
 	admitted          map[string]bool    // versions at which streams may begin
+	rollout           Rollout
 }
 
 // newPool returns a pool without servers.
@@ -113,6 +114,15 @@
 
 // choose returns the best server for a request, or false if none can take it now.
 func (p *pool) choose(now time.Time, w *waiter) (candidate, bool) {
+	c, ok := p.chooseByRule(now, w)
+	if !ok && p.leavesNewVersion(w.request) {
+		c, ok = p.chooseByRule(now, w)
+	}
+	return c, ok
+}
+
+// chooseByRule returns the best server that the request's version rule allows.
+func (p *pool) chooseByRule(now time.Time, w *waiter) (candidate, bool) {
 	if p.service.ServesModels() {
 		return p.chooseModelServer(now, w)
 	}
@@ -130,19 +140,19 @@
 		return candidate{}, false
 	}
 	for _, s := range p.servers {
-		if p.disaggregated && s.prefillServer != sr.wantsPrefill && w.request.Version == "" {
+		if p.disaggregated && s.prefillServer != sr.wantsPrefill && !p.ignoresRoles(w.request) {
 			continue // a stream that keeps to a version takes any server of it
 		}
 		sr.consider(s)
 	}
-	if !sr.found && p.disaggregated && !sr.wantsPrefill && !sr.spareOnly && w.request.Version == "" {
+	if !sr.found && p.disaggregated && !sr.wantsPrefill && !sr.spareOnly && !p.ignoresRoles(w.request) {
 		for _, s := range p.servers {
 			if s.prefillServer {
 				sr.consider(s)
 			}
 		}
 	}
-	if !sr.found && p.disaggregated && sr.wantsPrefill && w.request.Version == "" && w.rejections.Busy+w.rejections.Reserved+w.rejections.Full == 0 {
+	if !sr.found && p.disaggregated && sr.wantsPrefill && !p.ignoresRoles(w.request) && w.rejections.Busy+w.rejections.Reserved+w.rejections.Full == 0 {
 		for _, s := range p.servers { // no prefill server is usable
 			if !s.prefillServer {
 				sr.consider(s)
@@ -152,7 +162,7 @@
 	if sr.found && sr.waitsForOwner() {
 		return candidate{}, false
 	}
-	if !sr.found && !sr.spareOnly && sr.bestBusy.server != nil && !(p.disaggregated && sr.bestBusy.server.prefillServer) {
+	if !sr.found && !sr.spareOnly && sr.bestBusy.server != nil && !p.mayLeaveNewVersion(w.request) && !(p.disaggregated && sr.bestBusy.server.prefillServer) {
 		sr.bestBusy.server.reservedFor = w
 	}
 	return sr.best, sr.found
@@ -185,6 +195,7 @@
 	sr.tieMargin = tieMarginMs + tieMarginPerIntervalMs*milliseconds(p.placement.summaryInterval)
 	sr.wantsPrefill = p.needsPrefillServer(w.request, sr.eventGapMs)
 	sr.owner = p.owner(now, w.request.Segments, sr.wantsPrefill, w.request.Version)
+	sr.owner = p.ownerByRollout(now, w.request, sr.owner, sr.wantsPrefill)
 	sr.prefillFraction, sr.slotFraction, sr.queueFraction = fairPrefillFraction*p.lateRate.fairFraction(), fairSlotFraction, fairQueueFraction
 	if sr.spareOnly {
 		fraction := p.lateRate.spareFraction() * p.placement.shares.allowedSpare(now, w.customer, w.request.cost(), p.idleSpareFraction)
--- a/placement/roles.go
+++ b/placement/roles.go
@@ -115,7 +115,7 @@
 	var best *server
 	lowestLoad := 0.0
 	for _, s := range pl.servers {
-		if s.prefillServer || s == g.server || g.version == "" || s.certainVersion(now) != g.version || !s.usable(now) || s.cold(now) || !p.withinLimit(now, s) {
+		if s.prefillServer || s == g.server || g.version == "" || s.certainVersion(now) != g.version || !s.usable(now) || s.cold(now) || !p.withinLimit(now, s) || !s.obeysRollout(now, g.request) {
 			continue
 		}
 		running, tokens := s.load()
@@ -138,7 +138,7 @@
 	best.recordSent(now, 0)
 	best.kvTokens += g.request.PromptTokens + g.request.OutputTokens
 	return &Grant{
-		placement: p, server: best, request: g.request, customer: g.customer, id: best.ID, startedMs: best.StartedMs, version: best.Version, address: best.Address,
+		placement: p, server: best, request: g.request, customer: g.customer, id: best.ID, startedMs: best.StartedMs, version: best.Version, serverVersion: best.Version, newVersion: g.newVersion, address: best.Address,
 		sentAt: now, firstEventSeen: true, migrated: true, late: g.late,
 	}
 }
--- a/placement/server.go
+++ b/placement/server.go
@@ -53,6 +53,7 @@
 	maybeRestarted bool      // it was unreachable and may have restarted, so it counts as cold
 	doubtedAt      time.Time // when it was last found unreachable since its entry was written, so that the entry may be of an older start
 	prefillServer  bool      // its role in a disaggregated pool
+	onTrial        bool      // it takes part in the trial of the new version of a roll-out
 
 	cacheFilledAt time.Time             // from then on its KV cache is taken to hold the segments that it owns; zero while nothing was prefilled
 	busyUntil     time.Time             // modeled time at which the server will have prefilled all prompts that any router sent to it; nothing is pending if it has passed
--- a/settings/gateway.go
+++ b/settings/gateway.go
@@ -51,7 +51,9 @@
 }
 
 // RollsOut reports whether the router takes part in roll-outs: the bounds of a bad version's exposure are given.
-func (g *Gateway) RollsOut() bool { return g.ExposeShare > 0 && g.RollbackDelay > 0 }
+func (g *Gateway) RollsOut() bool {
+	return g.ExposeShare > 0 && g.ExposeSlack > 0 && g.RollbackDelay > 0
+}
 
 // gatewayKeySpec describes a key of a gateway's settings file. apply stores a value; if
 // the value is invalid, it returns an instruction to the operator.
--- a/settings/gateway_test.go
+++ b/settings/gateway_test.go
@@ -88,7 +88,7 @@
 
 // A deployment without the bounds of roll-outs, whose settings file has the keys without values, did not start.
 func TestRollOutsAreOffWithoutTheirBounds(t *testing.T) {
-	for _, text := range []string{"", "expose-share =\nexpose-slack =\nrollback-ms =\n", "expose-share = 0.1\n", "rollback-ms = 5000\n"} {
+	for _, text := range []string{"", "expose-share =\nexpose-slack =\nrollback-ms =\n", "expose-share = 0.1\n", "rollback-ms = 5000\n", "expose-share = 0.1\nrollback-ms = 5000\n"} {
 		g, err := settings.ParseGateway([]byte(validGateway + text))
 		if err != nil || g.RollsOut() {
 			t.Errorf("%q: got error %v and roll-outs, want none", text, err)
