ingress, gossip: requests and their results reach the roll-out of their service

A call asks the roll-out for a version rule before each attempt, asks the placement just before the request is sent whether the version may still get it, and tells what was sent and how it ended. Without roll-outs none of this is called. Reports of roll-outs are datagrams of a new kind, which spread as notices do; older routers log and drop a kind that they do not know.

Tests: gossip: reports reach all routers of a large fleet.

--- a/gossip/gossip.go
+++ b/gossip/gossip.go
@@ -17,6 +17,7 @@
 	"github.com/rs/zerolog"
 
 	"bulrushtally/placement"
+	"bulrushtally/rollout"
 	"bulrushtally/streamversion"
 )
 
@@ -56,6 +57,10 @@
 	StreamReport(collector string) *streamversion.Report
 	// ApplyStreamReport processes what another router tells of its streams.
 	ApplyStreamReport(r *streamversion.Report)
+	// RolloutReports returns what this router, or its zone, tells others of roll-outs in progress.
+	RolloutReports(zone bool) []rollout.Report
+	// ApplyRolloutReports processes what another router or zone tells of roll-outs.
+	ApplyRolloutReports(m *RolloutReports)
 	// FleetChanged is called in each period with the current state of the fleet.
 	FleetChanged(f Fleet)
 	// RouterUnreachable is called with the name of a sender of summaries when none has come
@@ -71,6 +76,7 @@
 	ZoneRank    int           // of this router by name, from 0, among the reachable ones of its availability zone
 	ZoneRouters int           // reachable in its availability zone, including this router
 	Period      time.Duration // between two summaries
+	Live        []string      // names of the other routers whose own summaries come; in a large fleet those of the zone
 }
 
 // router is another router of the fleet.
@@ -188,6 +194,7 @@
 	g.send(append(data, kindSummary), to)
 	if g.noticesDue {
 		g.sendNotices(false, to)
+		g.sendRollouts(false, to)
 	}
 	return due
 }
@@ -200,6 +207,7 @@
 	kindForwarded = 'p' // zone summary that has been forwarded
 	kindNotices   = 'q'
 	kindStreams   = 'b' // streams that a router has begun, to its collector
+	kindRollouts  = 'r'
 )
 
 // send sends a datagram to each address.
@@ -243,6 +251,7 @@
 		g.sendZoneSummary(now, m.forwarders[:min(zoneForwarders, len(m.forwarders))])
 		if g.noticesDue {
 			g.sendNotices(true, g.remoteForwarders(now))
+			g.sendRollouts(true, g.remoteForwarders(now))
 		}
 	}
 	return m.targets
@@ -273,7 +282,7 @@
 	for i, r := range g.sorted() {
 		g.addMember(m, i, r, now.Sub(r.lastSeen))
 	}
-	m.fleet = Fleet{Alive: 1 + len(m.live), Known: len(g.routers) + 1, Rank: rank(m.live, g.self), ZoneRank: rank(m.zoneLive, g.self), ZoneRouters: 1 + len(m.zoneLive), Period: period(len(m.targets))}
+	m.fleet = Fleet{Alive: 1 + len(m.live), Known: len(g.routers) + 1, Rank: rank(m.live, g.self), ZoneRank: rank(m.zoneLive, g.self), ZoneRouters: 1 + len(m.zoneLive), Period: period(len(m.targets)), Live: m.live}
 	if g.large() {
 		m.fleet.Alive, m.fleet.Rank = 1+len(m.zoneLive)+remote, rank(m.known, g.self)
 		m.sendsZone = g.announced && rank(m.candidates, g.self) == 0
@@ -401,6 +410,11 @@
 		if err = cbor.Unmarshal(data, r); err == nil {
 			g.handler.ApplyStreamReport(r)
 		}
+	case kindRollouts:
+		m := &RolloutReports{}
+		if err = cbor.Unmarshal(data, m); err == nil {
+			g.handleRollouts(m)
+		}
 	default:
 		err = errUnknownKind
 	}
--- a/gossip/gossip_test.go
+++ b/gossip/gossip_test.go
@@ -15,6 +15,7 @@
 	"bulrushtally/gossip"
 	"bulrushtally/placement"
 	"bulrushtally/quarantine"
+	"bulrushtally/rollout"
 	"bulrushtally/streamversion"
 )
 
@@ -23,17 +24,19 @@
 	name string
 	zone string
 
-	mu          sync.Mutex
-	received    map[string]int
-	unreachable map[string]bool
-	alive       int
-	address     string
-	zoneHeardAt map[string]time.Time     // when the last zone summary came, by zone
-	zoneSilence map[string]time.Duration // longest time between two zone summaries, by zone
-	quarantine  *quarantine.Quarantine
-	collector   string              // that the router's last stream report was for
-	told        map[string]bool     // by router whose stream report came: whether this router was a collector then
-	hears       map[string][]string // zones that a router says it hears, by router
+	mu           sync.Mutex
+	received     map[string]int
+	unreachable  map[string]bool
+	alive        int
+	address      string
+	zoneHeardAt  map[string]time.Time     // when the last zone summary came, by zone
+	zoneSilence  map[string]time.Duration // longest time between two zone summaries, by zone
+	quarantine   *quarantine.Quarantine
+	collector    string                    // that the router's last stream report was for
+	told         map[string]bool           // by router whose stream report came: whether this router was a collector then
+	rollouts     map[string]rollout.Report // by router
+	rolloutZones map[string]string         // zone of a router whose reports came
+	hears        map[string][]string       // zones that a router says it hears, by router
 }
 
 func (r *recordingHandler) Summary() *placement.Summary {
@@ -110,6 +113,30 @@
 	r.quarantine.Merge(time.Now(), m.Quarantine, sameZone)
 }
 
+// RolloutReports reports of a roll-out in which this router has the number of its name's bytes of requests.
+func (r *recordingHandler) RolloutReports(zone bool) []rollout.Report {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	own := []rollout.Report{{Service: "desk", Router: r.name, Incarnation: 1, Sequence: 1, Requests: uint64(len(r.name))}}
+	if !zone {
+		return own
+	}
+	for _, report := range r.rollouts {
+		if r.rolloutZones[report.Router] == r.zone {
+			own = append(own, report)
+		}
+	}
+	return own
+}
+
+func (r *recordingHandler) ApplyRolloutReports(m *gossip.RolloutReports) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, report := range m.Reports {
+		r.rollouts[report.Router], r.rolloutZones[report.Router] = report, m.Zone
+	}
+}
+
 func (r *recordingHandler) FleetChanged(f gossip.Fleet) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -141,7 +168,7 @@
 
 func startInZone(t *testing.T, zone, name string) (*gossip.Gossip, *recordingHandler, context.CancelFunc) {
 	t.Helper()
-	r := &recordingHandler{name: name, zone: zone, quarantine: quarantine.New(), received: map[string]int{}, unreachable: map[string]bool{}, zoneHeardAt: map[string]time.Time{}, zoneSilence: map[string]time.Duration{}, told: map[string]bool{}, hears: map[string][]string{}}
+	r := &recordingHandler{name: name, zone: zone, quarantine: quarantine.New(), received: map[string]int{}, unreachable: map[string]bool{}, zoneHeardAt: map[string]time.Time{}, zoneSilence: map[string]time.Duration{}, told: map[string]bool{}, hears: map[string][]string{}, rollouts: map[string]rollout.Report{}, rolloutZones: map[string]string{}}
 	g, err := gossip.New(name, zone, "127.0.0.1:0", r, zerolog.Nop())
 	if err != nil {
 		t.Fatal(err)
@@ -280,6 +307,16 @@
 }
 
 // A returned router is first by name again at once; it sent no zone summary for 32 periods, and nobody else did.
+// A verdict takes the reports of all routers, also of those that send nothing to this one themselves.
+func TestReportsOfRolloutsReachAllRoutersOfALargeFleet(t *testing.T) {
+	routers, _ := startLargeFleet(t)
+	for _, r := range routers {
+		if !r.eventually(func() bool { return len(r.rollouts) == len(routers)-1 }) {
+			t.Errorf("%s: got reports of %d routers, want all %d others", r.name, len(r.rollouts), len(routers)-1)
+		}
+	}
+}
+
 func TestZoneIsHeardWhileItsFirstRouterReturns(t *testing.T) {
 	routers, stops := startLargeFleet(t)
 	last := routers[len(routers)-1] // of zone-b
--- a/ingress/attempt.go
+++ b/ingress/attempt.go
@@ -54,7 +54,9 @@
 // not run any more by the time a connection is ready.
 func (x *call) send(ctx context.Context, g *placement.Grant) (*upstream.Exchange, error) {
 	r := x.buildRequest(g)
-	r.Abandoned = func() bool { return x.quarantined() || x.mayOutlastStop() || x.conn.closedByCaller() } // the connection last: quarantined may wait for a lock
+	r.Abandoned = func() bool { // the roll-out last, since it counts what is sent, and the connection before: quarantined may wait for a lock
+		return x.quarantined() || x.mayOutlastStop() || x.conn.closedByCaller() || x.versionStopped(g)
+	}
 	r.NewConnection = slices.Contains(x.sentTo, g.ID())
 	x.sentTo = append(x.sentTo, g.ID())
 	ex, err := x.flow.Upstream.Send(ctx, g.Address(), r)
@@ -84,6 +86,8 @@
 	case ctx.Err() != nil && unsent:
 		g.EndUnsent(time.Now())
 		return false, x.contextEnded(ctx)
+	case abandoned && x.versionEnded:
+		return x.retryOtherVersion(g)
 	case abandoned && x.hold != nil:
 		g.EndUnsent(time.Now())
 		return false, x.holdResult()
--- a/ingress/flow.go
+++ b/ingress/flow.go
@@ -42,6 +42,7 @@
 	Upstream      *upstream.Pool
 	Quarantine    Quarantine
 	Streams       Streams
+	Rollouts      Rollouts // nil if the deployment has none
 	Migrator      Migrator
 	Clock         func() time.Duration // monotonic, also advances while the VM is suspended
 	KeyMaxAge     time.Duration        // how long keys are accepted after the configuration was last confirmed current
@@ -101,6 +102,9 @@
 	mayHaveRun       bool     // some backend server may have run the request
 	lastFailure      *result
 	stream           *stream
+	versionChosen    bool // the roll-out has counted the request
+	holdsNewVersion  bool // the roll-out chose the new version, and the request has not been sent
+	versionEnded     bool // the roll-out goes on without the version of the server that the request was about to be sent to
 
 	kvSource   string // location of a migrated request's KV cache, "" if none is to be sent
 	migrations int
@@ -269,6 +273,7 @@
 	if x.stream != nil {
 		defer x.recordStreamEnd(false)
 	}
+	defer x.releaseVersion()
 	unreachable := 0
 	for x.attempts < max(1, x.route.MaxAttempts) && unreachable < maxUnreachable {
 		x.leaveVersion()
@@ -284,7 +289,7 @@
 			return v
 		}
 		x.lastFailure = v
-		if v.cause == causeUnreachable {
+		if v.cause == causeUnreachable || v.cause == causeVersionStopped {
 			unreachable++
 			continue
 		}
@@ -296,7 +301,9 @@
 // admit waits until the request is placed on a backend server, or returns how the call ends if it is not. Its wait ends when a
 // shutdown has come so far that the request may not be sent any more.
 func (x *call) admit(ctx context.Context) (*placement.Grant, *result) {
+	x.chooseVersion()
 	grant, refusal := x.flow.Placer.Admit(ctx, x.placementRequest)
+	x.observeAttempt(grant)
 	if x.waitEndedByStop() {
 		if grant != nil {
 			grant.EndUnsent(time.Now())
--- a/ingress/migration.go
+++ b/ingress/migration.go
@@ -49,6 +49,7 @@
 	if target == nil {
 		return nil, m
 	}
+	x.observeAttempt(target)
 	m, outcome := x.flow.Migrator.Migrate(ctx, g.Address(), x.meta.id, target.Address())
 	if outcome == Stopped {
 		return target, m
--- a/ingress/result.go
+++ b/ingress/result.go
@@ -84,15 +84,16 @@
 
 // Causes of failed attempts, as sent to callers, logged and counted.
 const (
-	causeQuarantined = "crashes-servers"
-	causeUnreachable = "unreachable"
-	causeDeclined    = "declined"
-	causeBroken      = "broken"
-	causeUnsealed    = "unsealed"
-	causeTimeout     = "timeout"
-	causeLeft        = "client-left"
-	causeStopping    = "stopping"
-	causeNoStream    = "version-unknown" // of the servers that began the stream which the caller takes up
+	causeQuarantined    = "crashes-servers"
+	causeUnreachable    = "unreachable"
+	causeDeclined       = "declined"
+	causeBroken         = "broken"
+	causeUnsealed       = "unsealed"
+	causeTimeout        = "timeout"
+	causeLeft           = "client-left"
+	causeStopping       = "stopping"
+	causeVersionStopped = "version-stopped" // by the roll-out, just before the request was sent
+	causeNoStream       = "version-unknown" // of the servers that began the stream which the caller takes up
 )
 
 // writeFailure writes an error response of the router and reports whether the connection
--- a/ingress/version.go
+++ b/ingress/version.go
@@ -1,7 +1,7 @@
 package ingress
 
-// This file defines how a stream keeps to the software version of the backend server that began it: in one response, and
-// when its caller takes it up.
+// This file defines how a stream keeps to the software version of the backend server that began it, in one response and
+// when its caller takes it up, and how requests and their results are told to the roll-out of their service.
 
 import (
 	"context"
@@ -115,3 +115,87 @@
 		x.flow.Streams.Ended(x.stream.id)
 	}
 }
+
+// Rollouts decides to which version a request of a service goes during a roll-out, and learns how requests end.
+type Rollouts interface {
+	// Choose returns the rule for a new request, which it counts.
+	Choose(now time.Time, service string) placement.VersionRule
+	// Again returns the rule for another attempt of a request.
+	Again(now time.Time, service string) placement.VersionRule
+	// Release gives back the rule placement.NewVersion of a request that was not sent to the new version.
+	Release(now time.Time, service string)
+	// Sent records that a request is sent to a server of a version.
+	Sent(now time.Time, service, version string)
+	// Began records that an attempt at a server of a version has begun. A call of Ended follows.
+	Began(now time.Time, service, version, route string)
+	// Ended records how the attempt ended.
+	Ended(service, version, route string, e placement.Ending)
+}
+
+// chooseVersion sets the rule by which the next attempt is placed during a roll-out.
+func (x *call) chooseVersion() {
+	r, now := x.flow.Rollouts, time.Now()
+	if r == nil {
+		return
+	}
+	if x.versionChosen {
+		x.releaseVersion()
+		x.placementRequest.Rule = r.Again(now, x.service.Name)
+		return
+	}
+	x.versionChosen = true
+	x.placementRequest.Rule = r.Choose(now, x.service.Name)
+	x.holdsNewVersion = x.placementRequest.Rule == placement.NewVersion
+}
+
+// releaseVersion gives the choice of the new version back, if it was not used.
+func (x *call) releaseVersion() {
+	if x.holdsNewVersion {
+		x.holdsNewVersion = false
+		x.flow.Rollouts.Release(time.Now(), x.service.Name)
+	}
+}
+
+// ruleNames are the names of version rules in the log.
+var ruleNames = map[placement.VersionRule]string{placement.AnyVersion: "any", placement.OldVersion: "old", placement.NewVersion: "new"}
+
+// observeAttempt tells the roll-out that an attempt has begun, and has its end told.
+func (x *call) observeAttempt(g *placement.Grant) {
+	r := x.flow.Rollouts
+	if r == nil || g == nil {
+		return
+	}
+	service, version, route := x.service.Name, g.ServerVersion(), x.route.Name
+	r.Began(time.Now(), service, version, route)
+	g.OnEnd(func(e placement.Ending) { r.Ended(service, version, route, e) })
+}
+
+// versionStopped reports whether the request must not be sent to the server any more since the roll-out goes on without its
+// version. If it may, the roll-out is told that it is sent.
+func (x *call) versionStopped(g *placement.Grant) bool {
+	r, now := x.flow.Rollouts, time.Now()
+	if r == nil {
+		return false
+	}
+	if x.kvSource == "" && !g.MaySend(now) { // a run that was stopped to migrate goes on
+		x.versionEnded = true
+		return true
+	}
+	if g.IsNewVersion() {
+		x.holdsNewVersion = false
+	} else {
+		x.releaseVersion()
+	}
+	r.Sent(now, x.service.Name, g.ServerVersion())
+	return false
+}
+
+// retryOtherVersion ends an attempt that was not sent since the roll-out goes on without the server's version, so that the
+// request is placed anew. That is no retry, since no server had the request.
+func (x *call) retryOtherVersion(g *placement.Grant) (retry bool, v *result) {
+	g.EndUnsent(time.Now())
+	x.versionEnded = false
+	req := x.placementRequest
+	req.Tried = req.Tried[:max(0, len(req.Tried)-1)]
+	return true, &result{status: 503, cause: causeVersionStopped, retryAfter: defaultRetryAfter}
+}
