--- /dev/null
+++ b/rollout/evidence.go
@@ -0,0 +1,254 @@
+package rollout
+
+// This file defines the evidence for and against a version: likelihood ratios of its answers and those of the old version.
+
+import (
+	"math"
+	"time"
+)
+
+// Evidence is in natural logarithms of odds: how much likelier the answers are if the version is bad than if it is as the old one.
+const (
+	condemns     = 7.0 // odds of 1,100 to 1 that the version is bad
+	condemnsLate = 5.0 // the same once 50 bad answers are known, when waiting costs more
+	doubts       = 3.0 // the version gets no more than it has
+	suspects     = 1.0 // a router that hears few others sends no more
+	clears       = 3.0 // odds of 20 to 1 against the least fault
+	clearsLate   = 1.0 // the same when the deadline is near
+)
+
+// Figures of the comparison.
+const (
+	leastFault     = 0.15  // share of answers that the least fault to be found makes fail
+	leastSlow      = 0.3   // share of answers that it makes slow
+	leastExcess    = 4     // bad answers beyond the expected number, so that one incident of one server convicts no version
+	priorWeight    = 10    // answers of a window that the rate of the whole order counts as
+	leastRate      = 0.005 // of failures of a sound version
+	mostDesigned   = 0.25  // failure rate of old servers up to which a version is cleared by being like them
+	slowBuckets    = 3     // buckets beyond the old version's median: at least 2 times, at most 2.8 times as slow
+	mostSlowOld    = 0.1   // share of the old version's answers that may count as slow
+	leastTimed     = 8     // answers of the old version without which no time is compared
+	routeShare     = 0.1   // share of a service's answers from which a route needs evidence of its own
+	routeAnswers   = 6     // of the version on such a route
+	snapshotPeriod = 250 * time.Millisecond
+	slowLasts      = 0.4 // of RollbackDelay, for each of two successive windows: a slow start of a server passes sooner
+)
+
+// Shares of answers that the faults considered make fail, and make slow.
+var (
+	failEffects = [...]float64{0.1, 0.3, 0.7}
+	slowEffects = [...]float64{leastSlow, 0.7}
+)
+
+// snapshot is the sum of the answers at a time. Windows are counted from snapshots.
+type snapshot struct {
+	at     time.Time
+	routes []RouteCounts
+}
+
+// sample compares the answers of both versions on one route in a window. prior is the old version's rate over the whole order.
+type sample struct {
+	oldBad, oldAnswers, newBad, newAnswers, prior float64
+}
+
+// baseline returns the rate of bad answers to be expected, raised by as many standard errors as deviations.
+func (s sample) baseline(deviations float64) float64 {
+	n := s.oldAnswers + priorWeight
+	p := (s.oldBad + priorWeight*s.prior) / n
+	p += deviations * math.Sqrt(p*(1-p)/n)
+	return min(max(p, leastRate), 1-leastRate)
+}
+
+// odds returns the evidence that a fault makes a share of the answers bad, in addition to the rate p.
+func (s sample) odds(p, effect float64) float64 {
+	q := p + effect*(1-p)
+	return s.newBad*math.Log(q/p) + (s.newAnswers-s.newBad)*math.Log((1-q)/(1-p))
+}
+
+// failures returns the sample of failed answers. d is the window and whole the order.
+func failures(d, whole RouteCounts) (sample, bool) {
+	prior := (float64(whole.Old.Failed) + 0.5) / (float64(whole.Old.Answered) + 1)
+	return sample{float64(d.Old.Failed), float64(d.Old.Answered), float64(d.New.Failed), float64(d.New.Answered), prior}, true
+}
+
+// slowness returns the sample of slow answers, and false if the old version's times are too few to tell what is slow.
+func slowness(d, whole RouteCounts) (sample, bool) {
+	bucket, ok := slowFrom(whole.Old)
+	if !ok {
+		return sample{}, false
+	}
+	slow, timed := whole.Old.tail(bucket), whole.Old.tail(0)
+	prior := (slow + 0.5) / (timed + 1)
+	return sample{d.Old.tail(bucket), d.Old.tail(0), d.New.tail(bucket), d.New.tail(0), prior}, true
+}
+
+// slowFrom returns the bucket from which answers are slow by the old version's measure.
+func slowFrom(old Counts) (bucket int, ok bool) {
+	timed := old.tail(0)
+	if timed < leastTimed {
+		return 0, false
+	}
+	median := 0
+	for old.tail(median+1) > timed/2 {
+		median++
+	}
+	bucket = median + slowBuckets
+	for bucket < ratioBuckets && old.tail(bucket) > mostSlowOld*timed {
+		bucket++
+	}
+	return bucket, bucket < ratioBuckets
+}
+
+// tail returns the number of answers in a bucket and those above.
+func (c Counts) tail(bucket int) float64 {
+	n := uint32(0)
+	for i := bucket; i < ratioBuckets; i++ {
+		n += c.Times[i]
+	}
+	return float64(n)
+}
+
+// window is what was answered between two times. whole is the order up to the later one.
+type window struct{ counts, whole []RouteCounts }
+
+// against returns the evidence against the version in a window, for the likeliest one of the faults: on all routes or on one.
+func (w window) against(of func(d, whole RouteCounts) (sample, bool), effects []float64, excess float64) float64 {
+	most := 0.0
+	correction := math.Log(float64(max(1, len(w.counts)))) // for looking at each route by itself
+	for _, effect := range effects {
+		sum, sumExcess := 0.0, 0.0
+		for i, d := range w.counts {
+			s, ok := of(d, w.whole[i])
+			if !ok || s.newAnswers == 0 {
+				continue
+			}
+			p := s.baseline(1)
+			odds, beyond := s.odds(p, effect), s.newBad-p*s.newAnswers
+			sum, sumExcess = sum+odds, sumExcess+beyond
+			if beyond >= excess {
+				most = max(most, odds-correction)
+			}
+		}
+		if sumExcess >= excess {
+			most = max(most, sum)
+		}
+	}
+	return most
+}
+
+// soundAnswers returns the evidence that the version fails no more than the old one, by the least fault to be found.
+func (w window) soundAnswers() float64 {
+	sum := 0.0
+	for i, d := range w.counts {
+		if s, _ := failures(d, w.whole[i]); s.newAnswers > 0 {
+			sum -= s.odds(min(s.baseline(0), mostDesigned), leastFault)
+		}
+	}
+	return sum
+}
+
+// soundTimes returns the same of slow answers, and false if the old version's times are too few to tell.
+func (w window) soundTimes() (sum float64, ok bool) {
+	for i, d := range w.counts {
+		if s, timed := slowness(d, w.whole[i]); timed {
+			ok = true
+			sum -= s.odds(s.baseline(0), leastSlow)
+		}
+	}
+	return sum, ok
+}
+
+// routesSeen reports whether each large route has a part of the answers that it needs.
+func (w window) routesSeen(part float64) bool {
+	all := uint32(0)
+	for _, c := range w.whole {
+		all += c.Old.Answered
+	}
+	for _, c := range w.whole {
+		if float64(c.Old.Answered) >= max(1, routeShare*float64(all)) && float64(c.New.Answered) < part*routeAnswers {
+			return false
+		}
+	}
+	return true
+}
+
+// since returns the window that began with a snapshot and ended with another one, or now if until is nil. It uses the trial's
+// buffer, which the next call overwrites.
+func (t *trial) since(from, until *snapshot) window {
+	end := t.total.routes
+	if until != nil {
+		end = until.routes
+	}
+	t.buffer = append(t.buffer[:0], end...)
+	if from != nil {
+		for i, c := range from.routes {
+			t.buffer[i].Old, t.buffer[i].New = t.buffer[i].Old.minus(c.Old), t.buffer[i].New.minus(c.New)
+		}
+	}
+	return window{counts: t.buffer, whole: t.total.routes[:len(end)]}
+}
+
+// snap keeps the sums as they are now. Of older snapshots fewer are kept, so that their number grows with the logarithm of the
+// order's age and windows of each length exist within a quarter.
+func (t *trial) snap(now time.Time) {
+	if n := len(t.snapshots); n > 0 && now.Sub(t.snapshots[n-1].at) < snapshotPeriod {
+		return
+	}
+	t.snapshots = append(t.snapshots, &snapshot{at: now, routes: append([]RouteCounts(nil), t.total.routes...)})
+	kept := t.snapshots[:1]
+	for i := 1; i < len(t.snapshots); i++ {
+		last := i == len(t.snapshots)-1
+		if last || t.snapshots[i+1].at.Sub(kept[len(kept)-1].at) >= now.Sub(t.snapshots[i].at)/4 {
+			kept = append(kept, t.snapshots[i])
+		}
+	}
+	clear(t.snapshots[len(kept):])
+	t.snapshots = kept
+}
+
+// weigh computes the evidence of all windows that end now. A fault may appear late, so the strongest window counts.
+func (t *trial) weigh(now time.Time) {
+	whole := t.since(nil, nil)
+	t.favour = whole.soundAnswers()
+	soundTimes, timed := whole.soundTimes()
+	t.suspected = whole.against(failures, failEffects[:], 0)
+	t.failing = whole.against(failures, failEffects[:], leastExcess)
+	t.slowing = 0
+	for i, s := range t.snapshots {
+		sound, _ := t.since(s, nil).soundTimes()
+		soundTimes = max(soundTimes, sound) // a slow start may have gone before
+		t.failing = max(t.failing, t.since(s, nil).against(failures, failEffects[:], leastExcess))
+		if float64(now.Sub(s.at)) >= slowLasts*float64(t.options.RollbackDelay) {
+			t.slowing = max(t.slowing, t.slowTwice(now, i))
+		}
+	}
+	t.suspected = max(t.suspected, t.slowing)
+	if timed {
+		t.favour = min(t.favour, soundTimes)
+	}
+}
+
+// slowTwice returns the evidence that answers were slow both since snapshot i and in the window of the same length before it, and
+// still are: the end of a slow start must not count for all of a longer window.
+func (t *trial) slowTwice(now time.Time, i int) float64 {
+	late := t.since(t.snapshots[i], nil).against(slowness, slowEffects[:], leastExcess/2)
+	if late <= t.slowing {
+		return 0
+	}
+	length := now.Sub(t.snapshots[i].at)
+	recent := i
+	for recent+1 < len(t.snapshots) && now.Sub(t.snapshots[recent].at) > length/2 {
+		recent++
+	}
+	if t.since(t.snapshots[recent], nil).against(slowness, slowEffects[:], 0) < doubts {
+		return 0
+	}
+	first := i - 1
+	for first >= 0 && t.snapshots[i].at.Sub(t.snapshots[first].at) < length {
+		first--
+	}
+	if first < 0 {
+		return 0
+	}
+	return min(late, t.since(t.snapshots[first], t.snapshots[i]).against(slowness, slowEffects[:], leastExcess/2))
+}
