gateway: roll-outs read orders, apply what is decided and write the state of each

The rows rollout/SERVICE of the tables op and status are followed beside the configuration, only where the deployment has the bounds of roll-outs. Orders count in the era of the store in which they were read; after the store came back from a copy, one that is missing or older counts as before until doubtTime has passed. The row tells when the order began by the store's clock, so that a router that starts later knows the deadline.

--- a/gateway/fleet.go
+++ b/gateway/fleet.go
@@ -11,6 +11,7 @@
 	"bulrushtally/ingress"
 	"bulrushtally/placement"
 	"bulrushtally/platform"
+	"bulrushtally/rollout"
 	"bulrushtally/serverlimit"
 	"bulrushtally/serverstatus"
 	"bulrushtally/streamversion"
@@ -77,6 +78,14 @@
 	}
 }
 
+// RolloutReports returns what this router, or its zone, tells others of roll-outs in progress.
+func (g *Gateway) RolloutReports(zone bool) []rollout.Report {
+	return g.rollouts.toReport(time.Now(), zone)
+}
+
+// ApplyRolloutReports applies what another router or zone tells of roll-outs.
+func (g *Gateway) ApplyRolloutReports(m *gossip.RolloutReports) { g.rollouts.merge(time.Now(), m) }
+
 // StreamReport returns what this router tells the one that logs its streams.
 func (g *Gateway) StreamReport(collector string) *streamversion.Report {
 	return g.streams.report(collector)
@@ -101,17 +110,21 @@
 		operator.FailureAge = sinceFailure
 	}
 	servers.FailureAge = operator.FailureAge // both tables are in one store, so the later failure counts for both
+	tables := []follow.Delta{operator, servers, quarantined}
+	if f := g.followers.states; f != nil {
+		tables = append(tables, f.Delta())
+	}
 	return &gossip.ZoneUpdate{
 		Router: g.settings.VM, ConfigVersion: confirmed.version, ConfirmedAt: uint64(confirmed.storeClock.Milliseconds()), ConfirmedEra: confirmed.era,
-		Tables: []follow.Delta{operator, servers, quarantined},
+		Tables: tables,
 	}
 }
 
 // fallbackUpdate returns an update with the tables that this router has read since it gets no deltas of them, or nil if there are none.
 func (g *Gateway) fallbackUpdate() *gossip.ZoneUpdate {
 	var tables []follow.Delta
-	for _, f := range []*follow.Follower{g.followers.operator, g.followers.servers, g.followers.quarantine} {
-		if f.FallsBack() {
+	for _, f := range []*follow.Follower{g.followers.operator, g.followers.servers, g.followers.quarantine, g.followers.states} {
+		if f != nil && f.FallsBack() {
 			tables = append(tables, f.Delta())
 		}
 	}
@@ -135,6 +148,10 @@
 			g.followers.servers.ApplyDelta(t)
 		case QuarantineTable:
 			g.followers.quarantine.ApplyDelta(t)
+		case platform.StatusTable:
+			if f := g.followers.states; f != nil {
+				f.ApplyDelta(t)
+			}
 		}
 	}
 	g.confirm(update.ConfigVersion, update.ConfirmedAt, update.ConfirmedEra)
@@ -159,6 +176,7 @@
 		g.logger.Info().Bool("polls_store", !passive).Int("zone_rank", f.ZoneRank).Int("routers", f.Known).Msg("store-polling-changed")
 	}
 	g.placer.SetRouters(f.Known+g.settings.SpareRouters, f.Rank, f.Period)
+	g.rollouts.fleetChanged(f, g.settings.SpareRouters)
 }
 
 // RouterUnreachable discards what a sender reported whose summaries have stopped.
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -72,9 +72,10 @@
 	upstream       *upstream.Pool
 	suspects       *suspects
 	streams        *streams
+	rollouts       *rollouts // nil if the deployment has no bounds for roll-outs
 	serverRows     *serverTable
 	operatorRows   *operatorTable
-	followers      struct{ operator, servers, quarantine *follow.Follower }
+	followers      struct{ operator, servers, quarantine, states *follow.Follower } // states is nil without roll-outs
 	gossip         *gossip.Gossip
 	ingress        *ingress.Server
 	readyServer    *fasthttp.Server // for the load balancer's readiness checks
@@ -138,6 +139,7 @@
 		ListCurrentAt: g.followers.servers.CurrentAt, Routers: func() int { return int(g.knownRouters.Load()) }, Config: g.currentConfig.Table,
 		Clock: boottime, Metrics: g.metrics, Logger: g.logger,
 	})
+	g.initRollouts()
 	var err error
 	if g.gossip, err = gossip.New(s.VM, s.Zone, net.JoinHostPort(s.IP, strconv.Itoa(s.PeerPort)), g, g.logger); err != nil {
 		return err
@@ -145,11 +147,15 @@
 	for _, address := range s.Peers {
 		g.gossip.Add("", address)
 	}
-	flow := ingress.NewFlow(ingress.Options{
+	options := ingress.Options{
 		Headers: platform.HeaderNames(), CurrentConfig: g.currentConfig, Placer: g.placer, Upstream: g.upstream, Quarantine: g.suspects, Streams: g.streams,
 		Migrator: platform.NewMigrator(g.upstream, g.logger),
 		Clock:    boottime, KeyMaxAge: s.MaxRevokeDelay - revokeMargin, RefusalMaxAge: s.MaxConfigDelay, Logger: g.logger, Metrics: g.metrics,
-	})
+	}
+	if g.rollouts != nil { // a nil pointer in the interface would not be nil
+		options.Rollouts = g.rollouts
+	}
+	flow := ingress.NewFlow(options)
 	if g.ingress, err = ingress.NewServer(s.Listen, int(callerConnFraction*float64(s.MaxOpenFiles)), s.GracePeriod-exitMargin, flow, g.logger); err != nil {
 		return err
 	}
@@ -158,6 +164,19 @@
 	return err
 }
 
+// initRollouts creates the router's part in roll-outs, if the deployment has bounds for them.
+func (g *Gateway) initRollouts() {
+	s := g.settings
+	g.rollouts = newRollouts(s, rolloutOptions{
+		VM: s.VM, Zone: s.Zone, Store: g.store, Placer: g.placer, Incarnation: g.incarnation, Clock: boottime,
+		StoreClock: g.followers.operator.LocalTime, Metrics: g.metrics, Logger: g.logger,
+	})
+	g.operatorRows.rollouts = g.rollouts
+	if g.rollouts != nil {
+		g.followers.states = g.newFollower(platform.StatusTable, statusTable{g.rollouts}, func() time.Duration { return statusLongPoll })
+	}
+}
+
 // debugPrinter lets fasthttp log to a zerolog.Logger.
 type debugPrinter struct{ zerolog.Logger }
 
@@ -269,6 +288,11 @@
 	links.Go("quarantine", g.followers.quarantine.Run)
 	links.Go("quarantine-rows", g.suspects.run)
 	links.Go("streams", g.streams.run)
+	if g.rollouts != nil {
+		links.Go("rollout-states", g.followers.states.Run)
+		links.Go("rollouts", g.rollouts.run)
+		links.Go("rollout-writes", g.rollouts.writeStates)
+	}
 	links.Go("gossip", g.gossip.Run)
 	links.Go("register", g.register)
 	links.Go("dispatch", g.dispatch)
--- a/gateway/operatortable.go
+++ b/gateway/operatortable.go
@@ -1,7 +1,7 @@
 package gateway
 
 // This file defines operatorTable, which applies the rows that operators write to the platform's store: the
-// configuration and zones out of service.
+// configuration, zones out of service and orders of roll-outs.
 
 import (
 	"sync"
@@ -21,6 +21,7 @@
 	currentConfig *route.CurrentTable
 	placer        *placement.Placement
 	logger        zerolog.Logger
+	rollouts      *rollouts // nil if the deployment has none
 
 	mu            sync.Mutex
 	outOfService  map[string]bool // by zone
@@ -57,6 +58,7 @@
 
 // Reset applies all rows of the table. A zone without a row is in service.
 func (o *operatorTable) Reset(rows []follow.Row) {
+	o.rollouts.resetOrders(rows, false)
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	clear(o.doubts)
@@ -72,6 +74,7 @@
 // Restore keeps zones in and out of service as they were until operators write them again, or doubtTime has passed. The
 // configuration that the store holds now may be older than the one in force, which then is not confirmed any more.
 func (o *operatorTable) Restore(rows []follow.Row) {
+	o.rollouts.resetOrders(rows, true)
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	clear(o.doubts)
@@ -99,6 +102,7 @@
 
 // Apply applies changed rows.
 func (o *operatorTable) Apply(rows []follow.Row) {
+	o.rollouts.addOrders(rows)
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	o.apply(rows)
@@ -161,6 +165,7 @@
 // Confirm records that the configuration in force was current, unless the store holds another one: after a return from a
 // copy it may hold an older one for a while.
 func (o *operatorTable) Confirm(c follow.Confirmation) {
+	o.rollouts.confirmOrders(c.Era)
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	t := o.currentConfig.Table()
--- a/placement/version.go
+++ b/placement/version.go
@@ -104,14 +104,15 @@
 	EndOld       bool   // they do not get these either
 }
 
-// SetRollout sets how far the roll-out of a service is. It has to be called from time to time while the trial uses few
-// servers, since the servers of the version change.
-func (p *Placement) SetRollout(now time.Time, service string, r Rollout) {
+// SetRollout sets how far the roll-out of a service is, and returns how many servers of the new version are listed, in
+// service and not leaving. It has to be called from time to time while the trial uses few servers, since the servers of the
+// version change.
+func (p *Placement) SetRollout(now time.Time, service string, r Rollout) (servers int) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	pl := p.pools[service]
 	if pl == nil {
-		return
+		return 0
 	}
 	changed := pl.rollout != r
 	pl.rollout = r
@@ -121,6 +122,12 @@
 	if changed {
 		p.dispatch(now, pl)
 	}
+	for _, s := range pl.servers {
+		if r.To != "" && s.Version == r.To && s.stays(now) {
+			servers++
+		}
+	}
+	return servers
 }
 
 // selectTrialServers selects the servers that take part in the trial of the new version: the first ones by hash, so that all
@@ -222,6 +229,8 @@
 	At       time.Time
 	Result   AttemptResult
 	Unsent   bool          // the request was not sent
+	Cold     bool          // the server was cold
+	Lasted   time.Duration // from sending to the end
 	First    time.Duration // from sending to the first event, or to the whole response; 0 if it did not come
 	Expected time.Duration // the same as the service's servers take for it at this server's load; 0 if unknown
 }
@@ -238,7 +247,7 @@
 // ending returns how the attempt ends; the placement's lock is held. The time expected leaves the server's own slowdown out,
 // by which a slow version would excuse itself.
 func (g *Grant) ending(now time.Time, r AttemptResult, unsent bool) Ending {
-	e := Ending{At: now, Result: r, Unsent: unsent}
+	e := Ending{At: now, Result: r, Unsent: unsent, Cold: g.server.cold(g.sentAt), Lasted: now.Sub(g.sentAt)}
 	if g.firstEventSeen && !g.firstEventAt.IsZero() {
 		e.First = g.firstEventAt.Sub(g.sentAt)
 	}
