gateway: a router that leaves tells the roll-out that nothing of it runs any more

A router that had not come to the last stage when it left made the others wait for its report for 11 s, beyond the deadline of a 10 s order (seen in a test in which the testbed's first router stopped during the order). Its last reports now state the last stage and nothing in flight, once its last request has ended.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -169,7 +169,7 @@
 	s := g.settings
 	g.rollouts = newRollouts(s, rolloutOptions{
 		VM: s.VM, Zone: s.Zone, Store: g.store, Placer: g.placer, Incarnation: g.incarnation, Clock: boottime,
-		StoreClock: g.followers.operator.LocalTime, Metrics: g.metrics, Logger: g.logger,
+		StoreClock: g.followers.operator.LocalTime, Left: func() bool { return g.leaving.Load() && g.ingress.InFlight() == 0 }, Metrics: g.metrics, Logger: g.logger,
 	})
 	g.operatorRows.rollouts = g.rollouts
 	if g.rollouts != nil {
--- a/gateway/rollout.go
+++ b/gateway/rollout.go
@@ -23,6 +23,7 @@
 const (
 	rolloutPeriod     = 50 * time.Millisecond // between two looks at what is decided
 	rolloutReportTime = 2 * time.Second       // for which the report of a router is passed on to other zones
+	lastStage         = 5                     // of rollout.Progress, in which a router sends nothing to old servers; one that has left does so in any stage
 	usualTimeGain     = 0.05                  // weight of one answer in the usual time of a route
 )
 
@@ -59,6 +60,7 @@
 	Clock       func() time.Duration
 	// StoreClock converts a reading of the store's clock in an era to one of Clock. It may wait for rows to be applied.
 	StoreClock func(store time.Duration, era uint64) (at time.Duration, ok bool)
+	Left       func() bool // this router stops and has ended its last request
 	Metrics    tally.Scope
 	Logger     zerolog.Logger
 }
@@ -181,6 +183,11 @@
 		return nil
 	}
 	list := r.core.Report(now)
+	if r.Left() {
+		for i := range list {
+			list[i].Stage, list[i].OldInFlight = lastStage, 0
+		}
+	}
 	if !zone {
 		return list
 	}
--- a/gateway/testbed_test.go
+++ b/gateway/testbed_test.go
@@ -49,7 +49,8 @@
 	graceSeconds int // from SIGTERM to SIGKILL
 	descriptors  int
 	memoryMB     int
-	retrySlack   int // requests that the fleet may send again beside those that its share of all allows
+	retrySlack   int    // requests that the fleet may send again beside those that its share of all allows
+	bounds       string // further lines of the section [bounds]
 }
 
 // usualSettings are the settings of tests that vary none.
@@ -77,7 +78,7 @@
 revoke-ms = 2500
 grace-s = %d
 retry-slack = %d
-`, name, varied.descriptors, varied.memoryMB, freeUDPPort(t), storeAddress, varied.graceSeconds, varied.retrySlack)
+%s`, name, varied.descriptors, varied.memoryMB, freeUDPPort(t), storeAddress, varied.graceSeconds, varied.retrySlack, varied.bounds)
 	s, err := settings.ParseGateway([]byte(text))
 	if err != nil {
 		t.Fatal(err)
@@ -121,10 +122,16 @@
 // startRouterAt starts another gateway that finds the store at an address, and returns the testbed with that one.
 func (s *testbed) startRouterAt(storeAddress string) *testbed {
 	s.t.Helper()
-	second := *s
-	second.gateway, second.logs, second.stop = startGateway(s.t, storeAddress, "router-2", usualSettings)
-	s.t.Cleanup(second.stop)
-	return &second
+	return s.startRouterWith(storeAddress, "router-2", usualSettings)
+}
+
+// startRouterWith starts another gateway with a name and settings of its own, as startRouterAt does.
+func (s *testbed) startRouterWith(storeAddress, name string, varied gatewaySettings) *testbed {
+	s.t.Helper()
+	other := *s
+	other.gateway, other.logs, other.stop = startGateway(s.t, storeAddress, name, varied)
+	s.t.Cleanup(other.stop)
+	return &other
 }
 
 // startServer starts a backend server of a service and lists it in the store. The streams
--- a/gossip/gossip.go
+++ b/gossip/gossip.go
@@ -168,6 +168,7 @@
 		}
 	}
 	<-updatesDone
+	g.noticesAt = time.Time{} // the last reports of roll-outs tell that nothing of this router runs any more
 	g.sendSummary(time.Now()) // the summary announces that this router leaves
 	g.conn.Close()
 	<-g.done
