gateway, docs: explain shows the roll-out of a request; bounds are tested for routers that hear nothing of each other

The stand-in's store has an address at which routers do not learn of each other, and its servers tell when they gave bad answers.

Tests: three routers that hear nothing of each other; a store that comes back from before the verdict; explain.

--- a/cmd/bulrushtally/explain.go
+++ b/cmd/bulrushtally/explain.go
@@ -42,18 +42,21 @@
 }
 
 // explain prints, ordered by time, the log lines of the request with an ID. It adds the lines of
-// the same router about the backend servers to which the request was sent, up to the time of the
-// request's last line. It fails if a log cannot be read or has no line of the request.
+// the same router about the backend servers to which the request was sent, and about the roll-out
+// that decided its version, up to the time of the request's last line. It fails if a log cannot be read or has no line of the request.
 func explain(out io.Writer, id string, files []string) error {
 	entries, err := readLogs(files)
 	if err != nil {
 		return err
 	}
-	servers := map[string]bool{}
+	servers, rollouts := map[string]bool{}, map[string]bool{}
 	var selected []logEntry
 	for _, e := range entries {
 		if e.fields["request"] == id {
 			selected = append(selected, e)
+			if service, ok := e.fields["service"].(string); ok && e.fields["rollout_version"] != nil {
+				rollouts[service] = true
+			}
 			tried, _ := e.fields["servers"].([]any)
 			for _, s := range tried {
 				if name, ok := s.(string); ok {
@@ -68,7 +71,9 @@
 	lastTime := selected[len(selected)-1].time
 	for _, e := range entries {
 		name, _ := e.fields["server"].(string)
-		if servers[name] && e.fields["request"] != id && e.vm == selected[0].vm && e.time <= lastTime {
+		service, _ := e.fields["service"].(string)
+		concerned := servers[name] || rollouts[service] && strings.HasPrefix(e.event, "rollout-")
+		if concerned && e.fields["request"] != id && e.vm == selected[0].vm && e.time <= lastTime {
 			selected = append(selected, e)
 		}
 	}
--- a/cmd/bulrushtally/explain_test.go
+++ b/cmd/bulrushtally/explain_test.go
@@ -34,3 +34,25 @@
 		t.Errorf("unknown request: got %q, want an error with a remedy", out)
 	}
 }
+
+// The lines told which version a request went to, but not why.
+func TestExplainPrintsTheRolloutOfARequest(t *testing.T) {
+	path, err := buildProgram()
+	if err != nil {
+		t.Fatal(err)
+	}
+	log := filepath.Join(t.TempDir(), "router.log")
+	text := `{"level":"info","vm":"router-1","service":"desk","stage":1,"message":"rollout-step","time":"2026-01-01T00:00:01Z"}
+{"level":"info","vm":"router-1","service":"other","stage":1,"message":"rollout-step","time":"2026-01-01T00:00:01Z"}
+{"level":"info","vm":"router-1","request":"r1","status":200,"service":"desk","rollout_version":"new","servers":["i-1"],"message":"request","time":"2026-01-01T00:00:02Z"}
+{"level":"info","vm":"router-1","service":"desk","stage":2,"message":"rollout-step","time":"2026-01-01T00:00:03Z"}
+`
+	if err := os.WriteFile(log, []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	out, err := exec.Command(path, "explain", "r1", log).CombinedOutput()
+	got := strings.Split(strings.TrimSpace(string(out)), "\n")
+	if err != nil || len(got) != 2 || !strings.Contains(got[0], "rollout-step") || !strings.Contains(got[0], "stage=1") || !strings.Contains(got[1], "rollout_version=new") {
+		t.Errorf("got %q and error %v, want the step before the request and the request", got, err)
+	}
+}
--- a/gateway/rollout_test.go
+++ b/gateway/rollout_test.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"fmt"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -43,7 +44,7 @@
 
 // newRolloutBed starts routers and two servers of each version. The routers find the store at the given addresses, or
 // directly.
-func newRolloutBed(t *testing.T, routers int, addresses map[int]func(store string) string) *rolloutBed {
+func newRolloutBed(t *testing.T, routers int, addresses map[int]func(s *platformtest.Store) string) *rolloutBed {
 	t.Helper()
 	s := &testbed{t: t, store: platformtest.NewStore(), client: &http.Client{Transport: &http.Transport{DisableCompression: true}}}
 	t.Cleanup(s.store.Close)
@@ -59,7 +60,7 @@
 	for n := range routers {
 		address := s.store.Address()
 		if through := addresses[n]; through != nil {
-			address = through(address)
+			address = through(s.store)
 		}
 		b.routers = append(b.routers, s.startRouterWith(address, fmt.Sprintf("fleet-%d", n), rolloutSettings))
 	}
@@ -70,6 +71,11 @@
 	return b
 }
 
+// withoutRouters lets three routers find the store where they hear nothing of each other.
+var withoutRouters = map[int]func(s *platformtest.Store) string{
+	0: (*platformtest.Store).AddressWithoutRouters, 1: (*platformtest.Store).AddressWithoutRouters, 2: (*platformtest.Store).AddressWithoutRouters,
+}
+
 // order writes an order.
 func (b *rolloutBed) order(to string, seconds float64) {
 	b.store.Put("op", "rollout/desk", map[string]any{"service": "desk", "to": to, "duration_s": seconds})
@@ -169,6 +175,23 @@
 	}
 }
 
+// checkRollback checks that the new version has got no request later than rollback-ms after its 50th bad answer.
+func (b *rolloutBed) checkRollback() {
+	b.t.Helper()
+	var bad []time.Time
+	for _, s := range b.new {
+		bad = append(bad, s.BadAnswers()...)
+	}
+	slices.SortFunc(bad, time.Time.Compare)
+	if len(bad) < 50 {
+		return
+	}
+	last := bad[49].Add(5 * time.Second)
+	if got := received(b.new, last, time.Now()); got > 0 {
+		b.t.Errorf("got %d requests at a bad version later than 5 s after its 50th bad answer, want none; %s", got, b.steps())
+	}
+}
+
 // checkFinal checks that the row stays as it is for a time.
 func (b *rolloutBed) checkFinal(want string) {
 	b.t.Helper()
@@ -228,6 +251,7 @@
 			b.checkFinal("rolled_back")
 			b.endLoad()
 			b.checkExposure()
+			b.checkRollback()
 			if got := received(b.new, rolledBack.Add(200*time.Millisecond), time.Now()); got > 0 {
 				t.Errorf("got %d requests at the bad version after it was rolled back, want none; %s", got, b.steps())
 			}
@@ -253,8 +277,8 @@
 // store any more from before the verdict on.
 func TestVerdictIsWrittenThoughTheFirstWriterIsGone(t *testing.T) {
 	var link *platformtest.Link
-	b := newRolloutBed(t, 2, map[int]func(string) string{0: func(store string) string {
-		link = newLink(t, store)
+	b := newRolloutBed(t, 2, map[int]func(*platformtest.Store) string{0: func(s *platformtest.Store) string {
+		link = newLink(t, s.Address())
 		return link.Address()
 	}})
 	for _, r := range b.routers {
@@ -271,6 +295,7 @@
 	b.waitState(orderSeconds*time.Second, "rolled_back")
 	b.endLoad()
 	b.checkExposure()
+	b.checkRollback()
 }
 
 // The response to the write of the verdict is lost: the verdict must stand, and not be written twice with other content.
@@ -297,6 +322,7 @@
 	}
 	b.endLoad()
 	b.checkExposure()
+	b.checkRollback()
 }
 
 // No router learns of an order while the store is away, and one that has read it must not need the store to stop a bad version.
@@ -328,6 +354,7 @@
 	}
 	b.endLoad()
 	b.checkExposure()
+	b.checkRollback()
 	b.store.SetFault(platformtest.NoFault)
 	b.waitState(5*time.Second, "rolled_back")
 }
@@ -336,8 +363,8 @@
 // differ from that of the others. Messages between routers go on here: no stand-in cuts them off.
 func TestRouterWithoutTheStoreForAPartOfTheOrder(t *testing.T) {
 	var link *platformtest.Link
-	b := newRolloutBed(t, 2, map[int]func(string) string{1: func(store string) string {
-		link = newLink(t, store)
+	b := newRolloutBed(t, 2, map[int]func(*platformtest.Store) string{1: func(s *platformtest.Store) string {
+		link = newLink(t, s.Address())
 		return link.Address()
 	}})
 	for _, r := range b.routers {
@@ -417,6 +444,57 @@
 	b.waitState(orderSeconds*time.Second, "rolled_back")
 	b.endLoad()
 	b.checkExposure()
+	b.checkRollback()
+}
+
+// The store comes back from a copy of before the verdict. The verdict is final, since the old servers may have stopped: it has to
+// be written again, and nothing may go to the old version meanwhile.
+func TestVerdictOutlastsTheReturnOfAnOlderStore(t *testing.T) {
+	b := newRolloutBed(t, 2, nil)
+	for _, r := range b.routers {
+		b.beginLoad(r, 60)
+	}
+	time.Sleep(time.Second)
+	b.order("v2", orderSeconds)
+	b.waitState(3*time.Second, "serving")
+	restore := b.store.Copy()
+	b.waitState(orderSeconds*time.Second, "complete")
+	completed := time.Now()
+	time.Sleep(500 * time.Millisecond) // until both routers have read the row
+	restore()
+	if state, _ := b.state(); state != "serving" {
+		t.Fatalf("got state %q in the copy, want serving", state)
+	}
+	b.waitState(orderSeconds*time.Second, "complete")
+	b.checkFinal("complete")
+	b.endLoad()
+	if got := received(b.old, completed, time.Now()); got > 0 {
+		t.Errorf("got %d requests at the old servers after the roll-out was complete, want none; %s", got, b.steps())
+	}
+}
+
+// Routers that hear nothing of each other must keep the bounds together, each by its part.
+func TestBoundsHoldForRoutersThatHearNothingOfEachOther(t *testing.T) {
+	b := newRolloutBed(t, 3, withoutRouters)
+	for _, r := range b.routers {
+		b.beginLoad(r, 60)
+	}
+	for _, s := range b.new {
+		s.SetBadVersion(&platformtest.BadVersion{FailShare: 0.4})
+	}
+	b.order("v2", orderSeconds)
+	time.Sleep((orderSeconds + 2) * time.Second)
+	b.endLoad()
+	b.checkExposure()
+	b.checkRollback()
+	if state, _ := b.state(); state == "complete" {
+		t.Errorf("got a bad version complete, want it served or rolled back; %s", b.steps())
+	}
+	for _, r := range b.routers {
+		if r.logged("router-reachable") {
+			t.Errorf("got a router that hears another one; the test shows nothing")
+		}
+	}
 }
 
 // A stream that runs on an old server when the roll-out could be complete must not be cut off with that server, nor go on at the
--- a/ingress/log.go
+++ b/ingress/log.go
@@ -67,7 +67,7 @@
 		e = e.Str("stream_version", x.placementRequest.Version)
 	}
 	if x.versionChosen && x.placementRequest.Rule != placement.AnyVersion {
-		e = e.Str("rollout_version", ruleNames[x.placementRequest.Rule])
+		e = e.Str("service", x.service.Name).Str("rollout_version", ruleNames[x.placementRequest.Rule])
 	}
 	if s := v.servers; s != (placement.Rejections{}) {
 		e = e.Int("unusable", s.Unusable).Int("limited", s.Limited).Int("reserved", s.Reserved).Int("full", s.Full).Int("busy", s.Busy).Dur("best_expected_first_event_ms", s.ShortestFirstEvent)
