--- a/gateway/testbed_test.go
+++ b/gateway/testbed_test.go
@@ -51,6 +51,7 @@
 	memoryMB      int
 	retrySlack    int    // requests that the fleet may send again beside those that its share of all allows
 	metricsListen string // no metrics are served if empty
+	bounds        string // further lines of the section [bounds]
 }
 
 // usualSettings are the settings of tests that vary none.
@@ -78,9 +79,9 @@
 revoke-ms = 2500
 grace-s = %d
 retry-slack = %d
-[metrics]
+%s[metrics]
 listen = %s
-`, name, varied.descriptors, varied.memoryMB, freeUDPPort(t), storeAddress, varied.graceSeconds, varied.retrySlack, varied.metricsListen)
+`, name, varied.descriptors, varied.memoryMB, freeUDPPort(t), storeAddress, varied.graceSeconds, varied.retrySlack, varied.bounds, varied.metricsListen)
 	s, err := settings.ParseGateway([]byte(text))
 	if err != nil {
 		t.Fatal(err)
@@ -124,10 +125,16 @@
 // startRouterAt starts another gateway that finds the store at an address, and returns the testbed with that one.
 func (s *testbed) startRouterAt(storeAddress string) *testbed {
 	s.t.Helper()
-	second := *s
-	second.gateway, second.logs, second.stop = startGateway(s.t, storeAddress, "router-2", usualSettings)
-	s.t.Cleanup(second.stop)
-	return &second
+	return s.startRouterWith(storeAddress, "router-2", usualSettings)
+}
+
+// startRouterWith starts another gateway with a name and settings of its own, as startRouterAt does.
+func (s *testbed) startRouterWith(storeAddress, name string, varied gatewaySettings) *testbed {
+	s.t.Helper()
+	other := *s
+	other.gateway, other.logs, other.stop = startGateway(s.t, storeAddress, name, varied)
+	s.t.Cleanup(other.stop)
+	return &other
 }
 
 // startServer starts a backend server of a service and lists it in the store. The streams
--- a/ingress/attempt.go
+++ b/ingress/attempt.go
@@ -59,12 +59,12 @@
 func (x *call) send(ctx context.Context, g *placement.Grant) (*upstream.Exchange, error) {
 	r := x.buildRequest(g)
 	revoked := false
-	r.Abandoned = func() bool {
+	r.Abandoned = func() bool { // the roll-out last, since it counts what is sent, and the connection before: the checks before it may wait for locks
 		if x.quarantined() || x.mayOutlastStop() {
 			return true
 		}
 		revoked = g.Revoked(time.Now())
-		return revoked || x.conn.closedByCaller() // the connection last: the checks before may wait for locks
+		return revoked || x.conn.closedByCaller() || x.versionStopped(g)
 	}
 	r.NewConnection = slices.Contains(x.sentTo, g.ID())
 	x.sentTo = append(x.sentTo, g.ID())
@@ -104,6 +104,8 @@
 	case revoked:
 		g.EndUnsent(time.Now())
 		return true, &result{status: 503, cause: causeRevoked, retryAfter: defaultRetryAfter}
+	case abandoned && x.versionEnded:
+		return x.retryOtherVersion(g)
 	case abandoned && x.hold != nil:
 		g.EndUnsent(time.Now())
 		return false, x.holdResult()
--- a/placement/pool.go
+++ b/placement/pool.go
@@ -80,6 +80,7 @@
 	spillover         spilloverState
 	stated            serverload.Service // what its servers' statements of load have in common
 	loadStatedAt      time.Time          // of the last statement of a load; zero if there was none
+	rollout           Rollout
 }
 
 // newPool returns a pool without servers.
@@ -122,6 +123,15 @@
 // choose returns the best server for a request, or false if none can take it now.
 func (p *pool) choose(now time.Time, w *waiter) (candidate, bool) {
 	p.refreshLoads(now)
+	c, ok := p.chooseByRule(now, w)
+	if !ok && p.leavesNewVersion(w.request) {
+		c, ok = p.chooseByRule(now, w)
+	}
+	return c, ok
+}
+
+// chooseByRule returns the best server that the request's version rule allows.
+func (p *pool) chooseByRule(now time.Time, w *waiter) (candidate, bool) {
 	if p.service.ServesModels() {
 		return p.chooseModelServer(now, w)
 	}
@@ -140,19 +150,19 @@
 		return candidate{}, false
 	}
 	for _, s := range p.servers {
-		if p.disaggregated && s.prefillServer != sr.wantsPrefill && w.request.Version == "" {
+		if p.disaggregated && s.prefillServer != sr.wantsPrefill && !p.ignoresRoles(w.request) {
 			continue // a stream that keeps to a version takes any server of it
 		}
 		sr.consider(s)
 	}
-	if !sr.found && p.disaggregated && !sr.wantsPrefill && !sr.spareOnly && w.request.Version == "" {
+	if !sr.found && p.disaggregated && !sr.wantsPrefill && !sr.spareOnly && !p.ignoresRoles(w.request) {
 		for _, s := range p.servers {
 			if s.prefillServer {
 				sr.consider(s)
 			}
 		}
 	}
-	if !sr.found && p.disaggregated && sr.wantsPrefill && w.request.Version == "" && w.rejections.Busy+w.rejections.Reserved+w.rejections.Full+w.rejections.Spillover == 0 {
+	if !sr.found && p.disaggregated && sr.wantsPrefill && !p.ignoresRoles(w.request) && w.rejections.Busy+w.rejections.Reserved+w.rejections.Full+w.rejections.Spillover == 0 {
 		for _, s := range p.servers { // no prefill server is usable
 			if !s.prefillServer {
 				sr.consider(s)
@@ -162,7 +172,7 @@
 	if sr.found && sr.waitsForOwner() {
 		return candidate{}, false
 	}
-	if !sr.found && !sr.spareOnly && sr.bestBusy.server != nil && !(p.disaggregated && sr.bestBusy.server.prefillServer) {
+	if !sr.found && !sr.spareOnly && sr.bestBusy.server != nil && !p.mayLeaveNewVersion(w.request) && !(p.disaggregated && sr.bestBusy.server.prefillServer) {
 		sr.bestBusy.server.reservedFor = w
 	}
 	p.spillover.record(p.placement.zone, sr)
@@ -198,6 +208,7 @@
 	sr.tieMargin = p.tieMargin()
 	sr.wantsPrefill = p.needsPrefillServer(w.request, sr.eventGapMs)
 	sr.owner = p.owner(now, w.request.Segments, sr.wantsPrefill, w.request.Version)
+	sr.owner = p.ownerByRollout(now, w.request, sr.owner, sr.wantsPrefill)
 	sr.prefillFraction, sr.slotFraction, sr.queueFraction = fairPrefillFraction*p.lateRate.fairFraction(), fairSlotFraction, fairQueueFraction
 	if sr.spareOnly {
 		fraction := p.lateRate.spareFraction() * p.placement.shares.allowedSpare(now, w.customer, w.request.cost(), p.idleSpareFraction)
