--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -41,9 +41,9 @@
 	largeFleetConfigLongPoll = 700 * time.Millisecond  // the same in a large fleet, where few routers poll for all
 	zonePollers              = 2                       // routers of each zone that poll the store in a large fleet
 	serverLongPoll           = 4000 * time.Millisecond
-	pollDelayPerRouter       = 5 * time.Millisecond // between polls that return changes, for each router of the fleet
-	maxPollDelay             = 700 * time.Millisecond
-	fallbackSpreadPerRouter  = 25 * time.Millisecond // for each router of the zone
+	pollDelayPerRouter       = 5 * time.Millisecond   // between polls that return changes, for each router of the fleet
+	largeFleetPollDelay      = 300 * time.Millisecond // the same in a large fleet, where two routers of a zone poll in turn
+	fallbackSpreadPerRouter  = 25 * time.Millisecond  // for each router of the zone
 	maxFallbackSpread        = time.Second
 	maxReadDelay             = 2 * time.Second
 	storeTimeout             = 700 * time.Millisecond // for an answer, in addition to the time of a long poll
@@ -205,7 +205,10 @@
 // pollDelay returns how long to wait after a poll that returned changes, so that the next
 // poll returns more changes at once. It grows with the number of routers.
 func (g *Gateway) pollDelay() time.Duration {
-	return min(maxPollDelay, time.Duration(min(gossip.ZoneSummaryThreshold, g.knownRouters.Load()))*pollDelayPerRouter)
+	if g.knownRouters.Load() > gossip.ZoneSummaryThreshold {
+		return largeFleetPollDelay
+	}
+	return time.Duration(g.knownRouters.Load()) * pollDelayPerRouter
 }
 
 // fallbackSpread returns the time over which the routers of a zone begin to poll the store when those that poll for all send nothing.
