spillover: drop a limit on the step that no step reaches

Cause: a twenty-fourth of the way to the target is always less than the eighth that limited a step.

Change: the limit goes, and the test holds the step to a twenty-fourth of the range.

Test: TestPriceMovesByBoundedSteps

--- a/spillover/doc.go
+++ b/spillover/doc.go
@@ -3,8 +3,8 @@
 //
 // A router prices a server of another zone by how busy its own zone (home) is: the round trip between zones
 // while home is full, and some tens of milliseconds while home has room. In between, a share of the requests pays the
-// high price, so that the load of home does not oscillate. The share moves by a bounded step each period and ignores
-// small changes of the load.
+// high price, so that the load of home does not oscillate. The share moves by a small part of the way to its
+// target each period, and ignores small changes of the load.
 //
 // What leaves for another zone is bounded as well. A zone's free capacity is split between all routers in advance, half of
 // it for each period, so that routers that act alike on the same old report do not exceed it together. A period is longer
--- a/spillover/policy.go
+++ b/spillover/policy.go
@@ -13,8 +13,7 @@
 	preferenceMs      = 20.0       // wait at home that is accepted beyond the tie margin, while home has room
 	maxPriceMs        = 50.0       // price at any tie margin
 	ObjectiveFraction = 0.1        // of a request's latency objective, which the price may take at most
-	stayStep          = 0.125      // most by which the share of requests that pay the high price changes in a period
-	stayGain          = 1.0 / 24   // part of the difference to its target by which the share changes; with more, it swings as reports are old
+	stayGain          = 1.0 / 24   // part of the way to its target by which the share of requests that pay the high price moves in a period; with more it swings, since its effect is seen late
 	staySnap          = 0.01       // difference at which the share takes its target
 	utilizationStep   = 0.02       // smaller changes of the utilization of home are ignored
 	roomBelow, fullAt = 0.40, 0.75 // utilization of home at which the share of requests that pay the high price begins to fall, and at which it is 0
@@ -218,7 +217,7 @@
 }
 
 // moveShare moves the share of requests that pay the high price by a part of the way to what the utilization of home calls
-// for, and by at most one step. While home is not nearly full, requests also stay because no other zone is less busy: two busy zones would only
+// for. While home is not nearly full, requests also stay because no other zone is less busy: two busy zones would only
 // exchange their requests otherwise.
 func (p *Policy) moveShare(leastOther float64) {
 	room := fall(p.utilization, roomBelow, fullAt)
@@ -228,7 +227,7 @@
 		p.stay = target
 		return
 	}
-	p.stay += min(stayStep, max(-stayStep, stayGain*(target-p.stay)))
+	p.stay += stayGain * (target - p.stay)
 }
 
 // fall falls linearly from 1 at from to 0 at to, and is constant outside of them.
--- a/spillover/policy_test.go
+++ b/spillover/policy_test.go
@@ -117,7 +117,7 @@
 			v.Zones[0].Utilization = 0.9
 		}
 		now = update(&p, now, v, 1)
-		if got, want := p.PriceMs()-before, (30.0-3)/8+1e-9; got > want || got < -want {
+		if got, want := p.PriceMs()-before, (30.0-3)/24+1e-9; got > want || got < -want {
 			t.Fatalf("got a change of %v ms in a period, want at most %v", got, want)
 		}
 		before = p.PriceMs()
