--- a/spillover/policy_test.go
+++ b/spillover/policy_test.go
@@ -315,7 +315,7 @@
 	}
 }
 
-// Measures the update of a period with 24 zones.
+// Measures the update of a period with three zones.
 func BenchmarkUpdate(b *testing.B) {
 	var p spillover.Policy
 	v := newView()
