Full prefill servers do not end the split while streams are at risk

Cause: the rule compared loads and capacities alone.

Change: which group is full decides. Decode servers without slots end the split only if the pool is full without it, too; prefill servers only if more callers are served even if all streams at risk miss an event gap.

--- a/roles/decider.go
+++ b/roles/decider.go
@@ -4,23 +4,27 @@
 
 import "time"
 
-// A pool is split into prefill and decode servers unless one of two things holds. Each limit has a second value from
+// A pool is split into prefill and decode servers unless one of three things holds. The limits have second values from
 // which the pool is split again; in between, it stays as it is.
 //
-// First, split it cannot serve what arrives, and without a split it would serve clearly more. Both have to hold:
-// with room, the split protects event gaps at no loss, and where it costs little capacity, a flood does
-// not change the roles. The load that routers see includes what callers send again after a refusal, so the limit
-// on it is far above 1. docs/design/roles.md has the loads of the deployments that were measured.
+// First, the decode servers lack slots for what arrives, and without a split the pool would take clearly more but be full, too. Then
+// the slots bound the streams of each server, and with them what prefills delay. The load that routers see includes what callers send again
+// after a refusal, so the limit on it is far above 1. docs/design/roles.md has the loads of the deployments that were measured.
 //
-// Second, the migration of a stream takes so much of the event gap that callers allow that it costs them what the split
+// Second, the prefill servers cannot take what arrives, and without a split the pool would serve more
+// even if all streams at risk missed an event gap.
+//
+// Third, the migration of a stream takes so much of the event gap that callers allow that it costs them what the split
 // saves: half of the gap is left for the decode step and for the way of the event.
 const (
-	maxSplitLoad, splitLoadToReturn                 = 1.5, 1.15
+	maxLoad, loadToReturn                           = 1.5, 1.15
+	minTogetherLoad                                 = 1.2        // for the first
 	minSplitCapacity, splitCapacityToReturn         = 0.83, 0.90 // relative to the pool without prefill servers
+	minGainAtRisk, gainToReturn                     = 1.1, 1.0   // of the requests that are served
 	maxMigrationFraction, migrationFractionToReturn = 0.5, 0.35  // of the event gap
 )
 
-// calmTime is how long the load must stay below splitLoadToReturn before the pool is split again for it. The load follows the time of
+// calmTime is how long the load must stay below loadToReturn before the pool is split again for it. The load follows the time of
 // day, and servers that change roles hold segments that others need.
 const calmTime = 2 * time.Minute
 
@@ -99,12 +103,18 @@
 
 // wantsTogether reports whether no server should prefill for others, by the limits that hold in the present state.
 func (d *Decider) wantsTogether(now time.Time, a Assessment) bool {
-	if a.Split > splitLoadToReturn {
+	if a.Split() > loadToReturn {
 		d.busyAt = now
 	}
+	capacity := a.Capacity()
 	if !d.together {
-		return a.Split > maxSplitLoad && a.Capacity() < minSplitCapacity || a.MigrationMs > maxMigrationFraction*a.EventGapMs
+		return a.Decode > maxLoad && a.Together > minTogetherLoad && capacity < minSplitCapacity ||
+			a.Prefill > maxLoad && capacity*minGainAtRisk < 1-a.AtRisk ||
+			a.MigrationMs > maxMigrationFraction*a.EventGapMs
+	}
+	if a.MigrationMs > migrationFractionToReturn*a.EventGapMs {
+		return true
 	}
 	calm := now.Sub(d.busyAt) >= calmTime
-	return !calm && a.Capacity() < splitCapacityToReturn || a.MigrationMs > migrationFractionToReturn*a.EventGapMs
+	return !calm && (a.Decode >= a.Prefill && capacity < splitCapacityToReturn || capacity*gainToReturn < 1-a.AtRisk)
 }
--- a/roles/mix.go
+++ b/roles/mix.go
@@ -14,6 +14,7 @@
 	MigratedOutput float64 // tokens generated after a prefill on a prefill server and a migration
 	StayingOutput  float64 // tokens generated on the prefill server itself, since the output is short
 	ShortOutput    float64 // tokens generated after a short prefill
+	Streams        float64 // share of requests whose output is so long that event gaps matter
 	Migrations     float64 // share of requests that would migrate
 	MigratedPrompt float64 // prompt tokens whose KV cache a migration copies
 }
@@ -25,7 +26,7 @@
 	Cost         float64 // capacity that the request uses
 	PrefillCost  float64 // of the tokens beyond the shared segments, in tokens at the start of a prompt
 	LongPrefill  bool    // the prefill belongs on a prefill server
-	ShortOutput  bool    // the output is so short that the request would not migrate
+	ShortOutput  bool    // the output is so short that event gaps do not matter and the request would not migrate
 }
 
 // Mix is the mean work of the recent requests of a service; its zero value has seen none.
@@ -39,6 +40,9 @@
 	m.weight = m.weight*mixDecay + 1
 	m.sum = m.sum.scaled(mixDecay)
 	m.sum.Cost += r.Cost
+	if !r.ShortOutput {
+		m.sum.Streams++
+	}
 	output := float64(r.OutputTokens)
 	switch {
 	case !r.LongPrefill:
@@ -72,6 +76,6 @@
 		Cost:        w.Cost * f,
 		LongPrefill: w.LongPrefill * f, ShortPrefill: w.ShortPrefill * f,
 		MigratedOutput: w.MigratedOutput * f, StayingOutput: w.StayingOutput * f, ShortOutput: w.ShortOutput * f,
-		Migrations: w.Migrations * f, MigratedPrompt: w.MigratedPrompt * f,
+		Streams: w.Streams * f, Migrations: w.Migrations * f, MigratedPrompt: w.MigratedPrompt * f,
 	}
 }
--- a/roles/roles.go
+++ b/roles/roles.go
@@ -50,20 +50,29 @@
 // Assessment compares a pool in which some servers prefill for the others to one in which each server does both. Loads are
 // those of the busiest servers, 1 where they are full.
 type Assessment struct {
-	Split       float64 // load of the pool with prefill servers
-	Together    float64 // load of the pool without
+	Prefill     float64 // load of the prefill servers, if there are some
+	Decode      float64 // load of the others then
+	Together    float64 // load of a pool without prefill servers
+	AtRisk      float64 // share of requests whose streams would miss an event gap without prefill servers, at most
 	MigrationMs float64 // mean duration of a migration while the pool with prefill servers is full; infinite if the links are the limit
 	EventGapMs  float64 // longest event gap that callers allow
 }
 
+// Split returns the load of the pool with prefill servers.
+func (a Assessment) Split() float64 { return max(a.Prefill, a.Decode) }
+
 // Capacity returns how many requests the pool with prefill servers takes, relative to the pool without.
 func (a Assessment) Capacity() float64 {
-	if a.Split <= 0 {
+	if a.Split() <= 0 {
 		return 1
 	}
-	return a.Together / a.Split
+	return a.Together / a.Split()
 }
 
+// gapsAtRisk is the length of a stream, in event gaps, from which one is taken to be missed where servers prefill between decode
+// steps. Shorter streams count in proportion.
+const gapsAtRisk = 3
+
 // Assess compares the two for n servers, the mean work of a request and the requests that arrive per second.
 //
 // A server's time goes to prefills, which let no stream advance, and to decode steps, each of which
@@ -85,7 +94,7 @@
 	prefilling := (long + w.StayingOutput*decodeMs + migrating) / prefill
 	decoding := (short + (w.MigratedOutput+w.ShortOutput)*decodeMs + migrating) / decode
 	split := max(prefilling, decoding)
-	a := Assessment{Split: split * perMs, Together: together * perMs, EventGapMs: e.EventGapMs}
+	a := Assessment{Prefill: prefilling * perMs, Decode: decoding * perMs, AtRisk: min(w.Streams, (w.MigratedOutput+w.ShortOutput)*e.TokenMs/e.EventGapMs/gapsAtRisk), Together: together * perMs, EventGapMs: e.EventGapMs}
 	if w.Migrations == 0 || split <= 0 {
 		return a
 	}
