The roles stay while a zone is out of service for some seconds, and end with the link figures

Cause: the load followed the number of usable servers at once, though the rate of arrivals was smoothed, so a third fewer servers ended the split on D. And a configuration that dropped the link figures left the pool as it was, not as it had been before they were read.

Change: the cost of arrivals for each usable server is smoothed. Without link figures the decision is forgotten.

Tests: TestRolesStayWhileAZoneIsOutOfService failed before (D, one change).

--- a/placement/rolechange.go
+++ b/placement/rolechange.go
@@ -100,10 +100,14 @@
 	return all * min(1, p.arrived.sum(bucket)/here) / span.Seconds()
 }
 
-// decideRoles updates the decision whether some of the usable servers prefill for the others. It stays as it is where the
+// decideRoles updates the decision whether some of the usable servers prefill for the others. Some do where the
 // configuration does not say how fast a KV cache is copied.
 func (p *pool) decideRoles(now time.Time, usable []*server) {
-	if len(usable) == 0 || !p.service.Migrates || p.service.KVBytesPerToken == 0 || !p.roles.Due(now) {
+	if p.service.KVBytesPerToken == 0 {
+		p.roles = roles.Decider{}
+		return
+	}
+	if len(usable) == 0 || !p.service.Migrates || !p.roles.Due(now) {
 		return
 	}
 	slots := 0
--- a/roles/decider.go
+++ b/roles/decider.go
@@ -65,7 +65,7 @@
 	reportedAt time.Time
 	busyAt     time.Time // when the load was last too high to split the pool again
 	rates      int       // that were smoothed
-	rate       float64
+	rate       float64   // smoothed cost of the requests per second and server
 }
 
 // Due reports whether it is time for the next assessment.
@@ -85,9 +85,9 @@
 		return Decision{}, false
 	}
 	d.rates++
-	d.rate += max(rateGain, 1/float64(d.rates)) * (in.CostPerSecond - d.rate)
+	d.rate += max(rateGain, 1/float64(d.rates)) * (in.CostPerSecond/float64(in.Servers) - d.rate)
 	work := in.Mix.Mean()
-	perSecond := d.rate / max(1, work.Cost)
+	perSecond := d.rate * float64(in.Servers) / max(1, work.Cost)
 	a := Assess(in.Servers, in.Engine, work, perSecond)
 	held := !d.changedAt.IsZero() && now.Sub(d.changedAt) < minHold
 	changed := d.together != d.wantsTogether(now, a) && !held
--- a/roles/roles_test.go
+++ b/roles/roles_test.go
@@ -201,6 +201,22 @@
 	}
 }
 
+// A zone that is out of service for some seconds must not change the roles of the servers that are left.
+func TestRolesStayWhileAZoneIsOutOfService(t *testing.T) {
+	for _, d := range deployments[:4] {
+		r := routerOf{deployment: &d, random: rand.New(rand.NewPCG(1, 8))}
+		changes := r.run(start, 60, 1, 0.02, 0.3)
+		whole := d.servers
+		d.servers = whole * 2 / 3
+		changes += r.run(start.Add(time.Minute), 8, 1, 0.02, 0.3)
+		d.servers = whole
+		changes += r.run(start.Add(68*time.Second), 60, 1, 0.02, 0.3)
+		if changes > 0 || !r.decider.Split() {
+			t.Errorf("%s: got %d changes while a third of the servers was out of service, want none", d.name, changes)
+		}
+	}
+}
+
 // A load that varies around a limit must not change the roles again and again; a load that stays low splits the pool again.
 func TestRolesChangeSlowly(t *testing.T) {
 	e := deployments[4]
