--- a/placement/roles_load_test.go
+++ b/placement/roles_load_test.go
@@ -176,7 +176,7 @@
 
 const (
 	loadObjective = 600 * time.Millisecond // for the first event
-	loadWarmUp    = 8 * time.Second       // in which the routers learn; what callers get then is not counted
+	loadWarmUp    = 8 * time.Second        // in which the routers learn; what callers get then is not counted
 	loadTime      = 25 * time.Second
 	loadRouters   = 3
 	lateStart     = 8 * time.Second
