serverload: the speed of a server is also observed in its tasks

Cause: servers that state running and waiting requests and slots alone say nothing of their speed, and a stated time of work may be against the usual one of the server itself, so that a slow server states 100.

Change: the time of completed tasks, divided by the stated time of work, is averaged for each server that states a load and compared with the median of the service. Tasks that failed, or beside which others waited for a slot, do not count. Model servers are observed by the prefill time beyond the pool's model. Estimates are asked for with a moment that a decision takes once.

Test: sizes of tasks that differ by a factor of four, absurd durations, quick failures (which fails if they count).

--- a/placement/fit.go
+++ b/placement/fit.go
@@ -21,6 +21,7 @@
 		p.baseMs = min(maxBaseMs, max(0, base))
 	}
 	ratio := min(maxSlowdownRatio, max(1/maxSlowdownRatio, milliseconds(took)/max(milliseconds(expected), 1)))
+	p.observeSpeed(now, s, tokens, took)
 	s.slowdownAt = now
 	s.slowdown = min(maxSlowdown, max(minSlowdown, s.slowdown*math.Pow(ratio, slowdownGain)))
 }
--- a/placement/grant.go
+++ b/placement/grant.go
@@ -3,7 +3,11 @@
 // This file defines Grant, the assignment of a request to a backend server, and the
 // results of an attempt.
 
-import "time"
+import (
+	"time"
+
+	"bulrushtally/serverload"
+)
 
 // AttemptResult is the result of one attempt to run a request on a backend server.
 type AttemptResult uint8
@@ -41,8 +45,9 @@
 	firstEventAt       time.Time // when the first event arrived at this router; zero before
 	late               bool      // an objective of the stream was missed
 	migrated           bool      // prefill ran on another server
-	charge             charge    // what its cost was charged to
-	ended              bool      // End or EndUnsent was called
+	statedLoad         serverload.Statement
+	charge             charge // what its cost was charged to
+	ended              bool   // End or EndUnsent was called
 }
 
 // ID returns the ID of the backend server.
@@ -144,6 +149,7 @@
 	switch r {
 	case Done:
 		s.recordResponse(now)
+		g.observeTask(now)
 		if g.request.PromptTokens > 0 && !g.late {
 			s.pool.lateRate.add(false)
 		}
--- a/placement/pool.go
+++ b/placement/pool.go
@@ -314,7 +314,7 @@
 func (p *pool) choosePlainServer(now time.Time, w *waiter) (candidate, bool) {
 	req, spareOnly := w.request, w.spareOnly()
 	var best candidate
-	found, ties, stated := false, 0, p.usesLoadStatements(now)
+	found, ties, stated, moment := false, 0, p.usesLoadStatements(now), p.stated.Moment(now)
 	for _, s := range p.servers {
 		if !s.usable(now) || !s.fits(now, req) || req.wasTried(s.ID) || !p.placement.withinColdRate(now, s) || !p.placement.withinLimit(now, s) {
 			continue
@@ -329,7 +329,7 @@
 		}
 		c := candidate{server: s}
 		if stated {
-			c.cost = s.statedCost(now) * (0.3 + s.errorRate)
+			c.cost = s.statedCost(moment) * (0.3 + s.errorRate)
 		} else {
 			c.cost = float64(running+1) / float64(s.slotCount()) * (0.3 + s.errorRate)
 		}
--- a/placement/serverload_test.go
+++ b/placement/serverload_test.go
@@ -279,6 +279,39 @@
 	})
 }
 
+// Fails if a server that fails at once looks quick, and so draws requests to itself.
+func TestQuickFailuresDoNotMakeAServerLookFast(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := newStatingPlacement(0)
+		for i := range 4 { // with one slot each, so that each gets one of four requests
+			p.SetServer(time.Now(), placement.ServerEntry{ID: fmt.Sprintf("i-%d", i), Service: "plain", Address: "127.0.0.1:1", Zone: "zone-a", StartedMs: 1, Slots: 1})
+		}
+		for i := range 200 {
+			var grants []*placement.Grant
+			for range 4 {
+				g, _ := admitWithoutWaiting(p, newPlainRequest())
+				grants = append(grants, g)
+			}
+			time.Sleep(time.Millisecond)
+			for _, g := range grants {
+				g.RecordStatement(time.Now(), placement.Statement{Load: serverload.Statement{Running: 1, Slots: 1}})
+				if g.ID() == "i-0" && i%4 == 0 {
+					g.RecordFirstEvent(time.Now())
+					g.End(time.Now(), placement.ServerError)
+				}
+			}
+			time.Sleep(29 * time.Millisecond)
+			for _, g := range grants {
+				g.RecordFirstEvent(time.Now())
+				g.End(time.Now(), placement.Done)
+			}
+		}
+		for _, c := range p.SlownessChanges() {
+			t.Errorf("got a slowness of %.2f for %s, want it near 1: its tasks took as long as those of the others", c.To, c.Server)
+		}
+	})
+}
+
 // BenchmarkAdmitWithStatements measures the choice among 140 servers of a plain service that state their load, with 30 customers.
 func BenchmarkAdmitWithStatements(b *testing.B) {
 	for _, states := range []bool{false, true} {
--- a/placement/statement.go
+++ b/placement/statement.go
@@ -4,6 +4,7 @@
 // other routers of it.
 
 import (
+	"cmp"
 	"math"
 	"math/rand/v2"
 	"time"
@@ -30,6 +31,9 @@
 	RejectedLoads int // number of rejected statements of load since the last one that was returned; 0 if none is to be told
 }
 
+// usualPercent is the time that work takes at a server that does not state it, as such statements have it.
+const usualPercent = 100.0
+
 // rejectedLoadPeriod is the least time between two log lines about rejected statements of load of one server.
 const rejectedLoadPeriod = time.Minute
 
@@ -46,6 +50,7 @@
 	if s.StartedMs == g.startedMs && st.Load.Valid() {
 		s.pool.loadStatedAt = now
 		s.stated.Record(now, &s.pool.stated, st.Load, s.knownRunning())
+		g.statedLoad = st.Load
 	}
 	if st.RejectedLoad != "" {
 		s.rejectedLoads++
@@ -139,7 +144,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for _, s := range p.servers {
-		if s.stated.Stated(now) {
+		if s.stated.Stated(now, &s.pool.stated) {
 			stated++
 		}
 		if s.stated.Lasting() >= 1+slownessStep {
@@ -159,13 +164,35 @@
 	return running
 }
 
+// minObservedPrefill is the least prefill time for which the time to a first event says something of the speed of a server.
+const minObservedPrefill = 10 * time.Millisecond
+
+// observeSpeed records how long a server took for prefill, against the pool's model.
+func (p *pool) observeSpeed(now time.Time, s *server, tokens float64, took time.Duration) {
+	modeled := tokens * p.msPerToken
+	if !p.usesLoadStatements(now) || modeled < milliseconds(minObservedPrefill) {
+		return
+	}
+	multiple := (milliseconds(took) - p.baseMs) / (modeled * s.stated.StatedSlowness(&p.stated))
+	s.stated.Observe(now, &s.pool.stated, min(maxSlowdownRatio, max(1/maxSlowdownRatio, multiple)))
+}
+
+// observeTask records how long a plain server took for a task that it completed, if none waited for a slot there.
+func (g *Grant) observeTask(now time.Time) {
+	s := g.server
+	if s.pool.service.ServesModels() || !g.statedLoad.Valid() || g.statedLoad.Waiting > 0 || !g.firstEventSeen || s.StartedMs != g.startedMs {
+		return
+	}
+	s.stated.Observe(now, &s.pool.stated, milliseconds(g.firstEventAt.Sub(g.sentAt))/cmp.Or(float64(g.statedLoad.Percent), usualPercent))
+}
+
 // expectedRunning returns the requests at the server by what it stated and by what the router knows of since then.
 func (s *server) expectedRunning(now time.Time) int {
 	known := s.knownRunning()
 	if !s.pool.usesLoadStatements(now) {
 		return known
 	}
-	unreported, _ := s.stated.Unreported(now, &s.pool.stated)
+	unreported, _ := s.stated.Load(s.pool.stated.Moment(now), &s.pool.stated)
 	return max(s.running, known+int(math.Round(unreported)))
 }
 
@@ -174,13 +201,13 @@
 	if !s.pool.usesLoadStatements(now) {
 		return s.slowdown
 	}
-	return min(maxSlowdown, s.slowdown*s.stated.Slowness(now, &s.pool.stated))
+	return min(maxSlowdown, s.slowdown*s.stated.Slowness(s.pool.stated.Moment(now), &s.pool.stated))
 }
 
 // statedCost returns the cost of a request at a plain server, by its slowness and its load. Where the load is uncertain, it is
 // chosen at random from what it may be, so that routers with the same old statements do not all choose the same server.
-func (s *server) statedCost(now time.Time) float64 {
-	unreported, deviation := s.stated.Unreported(now, &s.pool.stated)
+func (s *server) statedCost(now serverload.Moment) float64 {
+	unreported, deviation := s.stated.Load(now, &s.pool.stated)
 	unreported += deviation * loadNoise * (2*rand.Float64() - 1)
 	running := max(float64(s.running), float64(s.knownRunning())+unreported)
 	load := (running + 1) / float64(s.slotCount())
--- a/serverload/server_test.go
+++ b/serverload/server_test.go
@@ -54,12 +54,57 @@
 		if got, want := x.Lasting(), usual(i)/119; math.Abs(got-want) > 0.2 {
 			t.Errorf("server %d: got a slowness of %.2f, want %.2f", i, got, want)
 		}
-		if got, want := x.Slowness(now.Add(500*time.Millisecond), &s.Service), usual(i)/119; math.Abs(got-want) > 0.25 {
+		if got, want := x.Slowness(s.Moment(now.Add(500*time.Millisecond)), &s.Service), usual(i)/119; math.Abs(got-want) > 0.25 {
 			t.Errorf("server %d: got a slowness of %.2f half a second after the statement, want %.2f without its noise", i, got, want)
 		}
 	}
 }
 
+// Fails if the speed of a server that does not state it is not found from its tasks, which differ in size by a factor of four, or if
+// tasks add to a slowness that is stated.
+func TestLastingSlownessIsObservedInTasks(t *testing.T) {
+	for _, stated := range []bool{false, true} {
+		r := rand.New(rand.NewPCG(1, 2))
+		s := newService(20)
+		usual := func(i int) float64 { return 0.8 + 0.04*float64(i) } // median 1.18
+		now := start
+		for range 60 {
+			for i := range s.servers {
+				now = now.Add(25 * time.Millisecond)
+				st, multiple := serverload.Statement{Running: 3, Slots: 6}, (15+45*r.Float64())*usual(i)
+				if stated {
+					st.Percent = int(100 * usual(i))
+					multiple /= usual(i)
+				}
+				s.record(now, i, st, 0)
+				s.servers[i].Observe(now, &s.Service, multiple)
+			}
+		}
+		s.Refresh(now, slices.Values(s.servers))
+		for i, x := range s.servers {
+			if got, want := x.Lasting(), usual(i)/1.18; math.Abs(got/want-1) > 0.25 {
+				t.Errorf("stated %v, server %d: got a slowness of %.2f, want %.2f", stated, i, got, want)
+			}
+		}
+	}
+}
+
+// Fails if an absurd duration of a task gives an estimate that is not a number, or if a server that states no load is observed.
+func TestAbsurdTasksAreIgnored(t *testing.T) {
+	s := newService(2)
+	for _, multiple := range []float64{0, -1, math.NaN(), math.Inf(1)} {
+		s.record(start, 0, serverload.Statement{Running: 3, Slots: 6}, 0)
+		s.servers[0].Observe(start, &s.Service, multiple)
+		s.servers[1].Observe(start, &s.Service, 9)
+	}
+	s.Refresh(start, slices.Values(s.servers))
+	for i, x := range s.servers {
+		if got := x.Lasting(); got != 1 {
+			t.Errorf("server %d: got a slowness of %v, want 1", i, got)
+		}
+	}
+}
+
 // Fails if a figure is trusted longer than it holds, or not trusted while it does.
 func TestFiguresAreTrustedWhileTheyHold(t *testing.T) {
 	for _, period := range []time.Duration{100 * time.Millisecond, 4 * time.Second} {
@@ -82,7 +127,7 @@
 		s.record(now, 0, serverload.Statement{Running: 3, Slots: 6, Percent: 140}, 0)
 		x := s.servers[0]
 		differs := func(age time.Duration) float64 {
-			return x.Slowness(now.Add(age), &s.Service)/x.Lasting() - 1
+			return x.Slowness(s.Moment(now.Add(age)), &s.Service)/x.Lasting() - 1
 		}
 		fresh, old := differs(time.Millisecond), differs(500*time.Millisecond)
 		if fresh < 0.25 {
@@ -104,13 +149,13 @@
 		s.record(now, i%2, serverload.Statement{Running: 5, Waiting: 1, Slots: 6}, 1+i%2)
 	}
 	for i, want := range []float64{5, 4} {
-		if got, _ := s.servers[i].Unreported(now, &s.Service); math.Abs(got-want) > 0.1 {
+		if got, _ := s.servers[i].Load(s.Moment(now), &s.Service); math.Abs(got-want) > 0.1 {
 			t.Errorf("server %d: got %.2f unreported requests, want %v", i, got, want)
 		}
 	}
 	later := now.Add(time.Minute)
 	s.Refresh(later, slices.Values(s.servers))
-	if got, _ := s.servers[0].Unreported(later, &s.Service); got != 0 || s.servers[0].Stated(later) {
+	if got, _ := s.servers[0].Load(s.Moment(later), &s.Service); got != 0 || s.servers[0].Stated(later, &s.Service) {
 		t.Errorf("got %.2f unreported requests a minute after the last statement, want none", got)
 	}
 }
@@ -124,7 +169,7 @@
 		s.record(now, i%2, serverload.Statement{Running: 5, Slots: 6}, 0)
 	}
 	s.Refresh(now, slices.Values(s.servers))
-	if got, _ := s.servers[2].Unreported(now, &s.Service); math.Abs(got-5) > 0.1 {
+	if got, _ := s.servers[2].Load(s.Moment(now), &s.Service); math.Abs(got-5) > 0.1 {
 		t.Errorf("got %.2f unreported requests, want 5 as at the others", got)
 	}
 }
@@ -142,11 +187,11 @@
 	if *s.servers[0] != before {
 		t.Error("got a change by a statement that is older than the last one, want none")
 	}
-	if got := s.servers[1].Slowness(now, &s.Service); got < 1.2 {
+	if got := s.servers[1].Slowness(s.Moment(now), &s.Service); got < 1.2 {
 		t.Errorf("got a slowness of %.2f, want at least 1.2 before the restart", got)
 	}
 	s.servers[1].Forget()
-	if got := s.servers[1].Slowness(now, &s.Service); got != 1 || s.servers[1].Stated(now) {
+	if got := s.servers[1].Slowness(s.Moment(now), &s.Service); got != 1 || s.servers[1].Stated(now, &s.Service) {
 		t.Errorf("got a slowness of %.2f after the restart, want 1", got)
 	}
 }
@@ -161,8 +206,8 @@
 			st := serverload.Statement{Running: rapid.IntRange(0, 24).Draw(t, "running"), Waiting: rapid.IntRange(0, 100).Draw(t, "waiting"), Slots: 6, Percent: rapid.SampledFrom([]int{0, 10, 100, 2000}).Draw(t, "percent")}
 			s.record(now, rapid.IntRange(0, 2).Draw(t, "server"), st, rapid.IntRange(0, 200).Draw(t, "known"))
 			for _, x := range s.servers {
-				slowness := x.Slowness(now, &s.Service)
-				requests, deviation := x.Unreported(now, &s.Service)
+				slowness := x.Slowness(s.Moment(now), &s.Service)
+				requests, deviation := x.Load(s.Moment(now), &s.Service)
 				if !(slowness >= 0.1 && slowness <= 10) || !(math.Abs(requests) <= 400) || !(deviation >= 0 && deviation <= 400) {
 					t.Fatalf("got a slowness of %v, %v requests and a deviation of %v, want them bounded", slowness, requests, deviation)
 				}
@@ -181,9 +226,10 @@
 	}
 	b.ReportAllocs()
 	for b.Loop() {
+		at := s.Moment(now)
 		for _, x := range s.servers {
-			x.Unreported(now, &s.Service)
-			x.Slowness(now, &s.Service)
+			x.Load(at, &s.Service)
+			x.Slowness(at, &s.Service)
 		}
 	}
 }
--- a/serverload/service.go
+++ b/serverload/service.go
@@ -13,40 +13,59 @@
 
 // Service is what the servers of a service have in common. Its zero value knows nothing. It is not safe for concurrent use.
 type Service struct {
-	load        persistence // of the requests that the router does not know of
-	percent     persistence
-	median      float64 // of the time that work takes; 0 if not known
-	unreported  float64 // mean of the servers with a recent statement; 0 if there are none
-	refreshedAt time.Time
-	means       []float64 // reused
+	load          persistence // of the requests that the router does not know of
+	percent       persistence
+	percentMedian float64 // of the servers' means; 0 if there are none
+	taskMedian    float64 // the same of the times of tasks
+	unreported    float64 // mean of the servers with a recent statement; 0 if there are none
+	refreshedAt   time.Time
+	epoch         time.Time // of moments
+	percents      []float64 // reused, as is tasks
+	tasks         []float64
 }
 
+// Moment is a time since the epoch of a service. A decision that asks for many servers takes it once.
+type Moment time.Duration
+
+// Moment returns the moment of a time.
+func (s *Service) Moment(now time.Time) Moment { return Moment(now.Sub(s.epoch)) }
+
 // RefreshDue reports whether Refresh should be called.
 func (s *Service) RefreshDue(now time.Time) bool { return now.Sub(s.refreshedAt) >= refreshPeriod }
 
 // Refresh updates how long figures hold, the mean load, and the lasting speeds of the servers against their median.
 func (s *Service) Refresh(now time.Time, servers iter.Seq[*Server]) {
 	s.refreshedAt = now
+	at := s.Moment(now)
 	s.load.update(loadHold)
 	s.percent.update(percentHold)
-	s.means = s.means[:0]
+	s.percents, s.tasks = s.percents[:0], s.tasks[:0]
 	stated, sum := 0, 0.0
 	for x := range servers {
-		if x.Stated(now) {
+		if x.stated(at) {
 			stated++
 			sum += x.unreported.value
 		}
 		if x.percent.values > 0 {
-			s.means = append(s.means, x.percent.value)
+			s.percents = append(s.percents, x.percent.value)
+		}
+		if x.tasks.values > 0 {
+			s.tasks = append(s.tasks, x.tasks.value)
 		}
 	}
 	s.unreported = sum / float64(max(1, stated))
-	s.median = 0
-	if n := len(s.means); n > 0 {
-		slices.Sort(s.means)
-		s.median = (s.means[(n-1)/2] + s.means[n/2]) / 2
-	}
+	s.percentMedian, s.taskMedian = median(s.percents), median(s.tasks)
 	for x := range servers {
-		x.updateLasting(now, s.median)
+		x.updateLasting(at, s)
+	}
+}
+
+// median sorts values and returns their median, or 0 if there are none.
+func median(values []float64) float64 {
+	n := len(values)
+	if n == 0 {
+		return 0
 	}
+	slices.Sort(values)
+	return (values[(n-1)/2] + values[n/2]) / 2
 }
