serverload, gossip: routers of a zone tell each other the lasting speeds of servers

Cause: a router of a large fleet gets one statement of each server in some seconds, so that its mean of a figure which changes many times a second is far from the lasting speed.

Change: once a second a router sends the others of its zone, in a datagram of the new kind 'v', the servers whose slowness by its own measurement differs from 1 by more than a tenth, with the weight of the measurement. Reports are states with a rising number, and an entry is of one start of a server. Absurd, old and repeated reports are ignored. Older routers drop the kind with a log line.

Test: reports in any order, replaced, absurd, of an earlier start; a zone with lost reports; gossip within the zone and its rate; placement by the report of another router.

--- a/gateway/fleet.go
+++ b/gateway/fleet.go
@@ -12,6 +12,7 @@
 	"bulrushtally/placement"
 	"bulrushtally/platform"
 	"bulrushtally/serverlimit"
+	"bulrushtally/serverload"
 	"bulrushtally/serverstatus"
 	"bulrushtally/streamversion"
 )
@@ -85,6 +86,16 @@
 // ApplyStreamReport applies what another router of the zone tells of its streams.
 func (g *Gateway) ApplyStreamReport(r *streamversion.Report) { g.streams.collect(r) }
 
+// SpeedReport returns the speeds of backend servers that this router measured.
+func (g *Gateway) SpeedReport() *serverload.Report {
+	r := g.placer.SpeedReport(time.Now())
+	r.Incarnation = g.incarnation
+	return r
+}
+
+// ApplySpeedReport applies the speeds that another router of the zone measured.
+func (g *Gateway) ApplySpeedReport(r *serverload.Report) { g.placer.ApplySpeedReport(time.Now(), r) }
+
 // ZoneUpdate returns the recent changes of the store, for the other routers of the zone. It
 // returns nil if this router does not poll the store, or if every router does because
 // the fleet is small.
--- a/gossip/gossip.go
+++ b/gossip/gossip.go
@@ -17,6 +17,7 @@
 	"github.com/rs/zerolog"
 
 	"bulrushtally/placement"
+	"bulrushtally/serverload"
 	"bulrushtally/streamversion"
 )
 
@@ -56,6 +57,11 @@
 	StreamReport(collector string) *streamversion.Report
 	// ApplyStreamReport processes what another router tells of its streams.
 	ApplyStreamReport(r *streamversion.Report)
+	// SpeedReport returns the speeds of backend servers that this router measured, or nil. The router's name and the number of the
+	// report are set by the caller.
+	SpeedReport() *serverload.Report
+	// ApplySpeedReport processes the speeds that another router of the zone measured.
+	ApplySpeedReport(r *serverload.Report)
 	// FleetChanged is called in each period with the current state of the fleet.
 	FleetChanged(f Fleet)
 	// RouterUnreachable is called with the name of a sender of summaries when none has come
@@ -110,6 +116,10 @@
 	sendsZone  bool          // this router sent the summary of its zone in the last period
 	noticesAt  time.Time     // when notices were due last
 	noticesDue bool          // in this period
+
+	speedsAt       time.Time // when a report of speeds was due last
+	speedsTold     bool      // the last report had speeds
+	speedsSequence uint64    // number of the last report
 }
 
 // New returns a Gossip that listens at a UDP address. It fails if the address is invalid or in use.
@@ -200,6 +210,7 @@
 	kindForwarded = 'p' // zone summary that has been forwarded
 	kindNotices   = 'q'
 	kindStreams   = 'b' // streams that a router has begun, to its collector
+	kindSpeeds    = 'v' // speeds of backend servers, within the zone
 )
 
 // send sends a datagram to each address.
@@ -235,6 +246,7 @@
 	}
 	g.handler.FleetChanged(m.fleet)
 	g.sendStreams(m)
+	g.sendSpeeds(now)
 	if m.sendsZone != g.sendsZone {
 		g.sendsZone = m.sendsZone
 		g.logger.Info().Bool("sends", m.sendsZone).Int("zone_rank", m.fleet.ZoneRank).Int("routers", m.fleet.Alive).Msg("zone-sender-duty")
@@ -401,6 +413,11 @@
 		if err = cbor.Unmarshal(data, r); err == nil {
 			g.handler.ApplyStreamReport(r)
 		}
+	case kindSpeeds:
+		r := &serverload.Report{}
+		if err = cbor.Unmarshal(data, r); err == nil && r.Router != g.self {
+			g.handler.ApplySpeedReport(r)
+		}
 	default:
 		err = errUnknownKind
 	}
--- a/gossip/gossip_test.go
+++ b/gossip/gossip_test.go
@@ -15,6 +15,7 @@
 	"bulrushtally/gossip"
 	"bulrushtally/placement"
 	"bulrushtally/quarantine"
+	"bulrushtally/serverload"
 	"bulrushtally/streamversion"
 )
 
@@ -33,6 +34,7 @@
 	quarantine  *quarantine.Quarantine
 	collector   string              // that the router's last stream report was for
 	told        map[string]bool     // by router whose stream report came: whether this router was a collector then
+	speeds      map[string][]uint64 // numbers of the reports of speeds that came, by router
 	hears       map[string][]string // zones that a router says it hears, by router
 }
 
@@ -96,6 +98,22 @@
 	return &streamversion.Report{Begun: map[string][]byte{r.name: make([]byte, 8)}}
 }
 
+// SpeedReport reports one server that is slow, under the router's name.
+func (r *recordingHandler) SpeedReport() *serverload.Report {
+	return &serverload.Report{Incarnation: 1, Speeds: []serverload.Speed{{Key: serverload.Key(r.name, 1), Percent: 150, Weight: 9}}}
+}
+
+func (r *recordingHandler) ApplySpeedReport(report *serverload.Report) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.speeds == nil {
+		r.speeds = map[string][]uint64{}
+	}
+	if len(report.Speeds) > 0 && report.Speeds[0].Key == serverload.Key(report.Router, 1) {
+		r.speeds[report.Router] = append(r.speeds[report.Router], report.Sequence)
+	}
+}
+
 func (r *recordingHandler) ApplyStreamReport(report *streamversion.Report) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/ingress/log.go
+++ b/ingress/log.go
@@ -113,7 +113,7 @@
 func LogSlowness(logger zerolog.Logger, c placement.SlownessChange) {
 	logger.Info().Str("server", c.Server).Int64("started_unix_ms", c.StartedMs).Float64("slowness", c.To).Float64("slowness_before", c.From).
 		Int("statements", c.Evidence.Statements).Dur("statement_age_ms", c.Evidence.Age).Float64("mean_percent", c.Evidence.Mean).
-		Float64("median_percent", c.Evidence.Median).Int("tasks", c.Evidence.Tasks).Float64("observed_slowness", c.Evidence.Observed).Msg("server-slowness-changed")
+		Float64("median_percent", c.Evidence.Median).Int("tasks", c.Evidence.Tasks).Float64("observed_slowness", c.Evidence.Observed).Float64("reported_weight", c.Evidence.Reported).Msg("server-slowness-changed")
 }
 
 // LogLimit logs that the limit of a backend server changed.
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"bulrushtally/route"
+	"bulrushtally/serverload"
 	"bulrushtally/serverstatus"
 )
 
@@ -133,6 +134,7 @@
 	peers           map[string]*peerState // by router
 	availableAt     time.Time             // last update of shares.available
 	slownessChanges []SlownessChange      // to be told
+	speedPeers      serverload.Peers      // what other routers of the zone measured
 }
 
 // New returns a Placement without services and backend servers.
--- a/placement/serverload_test.go
+++ b/placement/serverload_test.go
@@ -279,6 +279,64 @@
 	})
 }
 
+// Fails if what another router of the zone measured does not change where a router sends that knows the servers' loads alone, or if
+// it still does after a restart of the server.
+func TestSpeedsOfAnotherRouterAreUsed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		entry := placement.ServerEntry{Service: "plain", Address: "127.0.0.1:1", Zone: "zone-a", StartedMs: 1, Slots: 1}
+		p, other := newStatingPlacement(0), newStatingPlacement(0)
+		for _, id := range []string{"i-0", "i-1"} {
+			entry.ID = id
+			p.SetServer(time.Now(), entry)
+			other.SetServer(time.Now(), entry)
+		}
+		// run sends requests in pairs, one to each server since they have one slot, and returns how often the first of the two went to i-0.
+		run := func(p *placement.Placement, pairs int, percent map[string]int) (first int) {
+			for range pairs {
+				var grants []*placement.Grant
+				for i := range 2 {
+					g, _ := admitWithoutWaiting(p, newPlainRequest())
+					if grants = append(grants, g); i == 0 && g.ID() == "i-0" {
+						first++
+					}
+				}
+				slices.SortFunc(grants, func(a, b *placement.Grant) int { return percent[a.ID()] - percent[b.ID()] })
+				sent := time.Now()
+				for _, g := range grants {
+					time.Sleep(time.Until(sent.Add(time.Duration(percent[g.ID()]) * 200 * time.Microsecond)))
+					g.RecordStatement(time.Now(), placement.Statement{Load: serverload.Statement{Running: 1, Slots: 1, Percent: percent[g.ID()]}})
+					g.RecordFirstEvent(time.Now())
+					g.End(time.Now(), placement.Done)
+				}
+			}
+			return first
+		}
+		equal := map[string]int{"i-0": 100, "i-1": 100}
+		run(other, 200, map[string]int{"i-0": 70, "i-1": 140})
+		report := other.SpeedReport(time.Now())
+		report.Router, report.Sequence = "other", 1
+		if len(report.Speeds) != 2 {
+			t.Fatalf("got a report of %d servers, want both", len(report.Speeds))
+		}
+		run(p, 60, equal)
+		if !p.ApplySpeedReport(time.Now(), report) || p.ApplySpeedReport(time.Now(), report) {
+			t.Error("got a report ignored or taken twice")
+		}
+		run(p, 60, equal)
+		if got := run(p, 100, equal); got < 90 {
+			t.Errorf("got %d of 100 pairs whose first request went to the faster server, want at least 90", got)
+		}
+		for i, id := range []string{"i-0", "i-1"} {
+			entry.ID, entry.StartedMs = id, int64(2+i)
+			p.SetServer(time.Now(), entry)
+		}
+		run(p, 60, equal)
+		if got := run(p, 100, equal); got < 20 || got > 80 {
+			t.Errorf("got %d of 100 pairs whose first request went to the server that was faster before its restart, want 20 to 80", got)
+		}
+	})
+}
+
 // Fails if a server that fails at once looks quick, and so draws requests to itself.
 func TestQuickFailuresDoNotMakeAServerLookFast(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/placement/statement.go
+++ b/placement/statement.go
@@ -97,13 +97,13 @@
 	if !p.stated.RefreshDue(now) || p.loadStatedAt.IsZero() {
 		return
 	}
-	p.stated.Refresh(now, func(yield func(*serverload.Server) bool) {
+	p.stated.Refresh(now, func(yield func(uint64, *serverload.Server) bool) {
 		for _, s := range p.servers {
-			if !yield(&s.stated) {
+			if !yield(s.loadKey(), &s.stated) {
 				return
 			}
 		}
-	})
+	}, &p.placement.speedPeers)
 	for _, s := range p.servers {
 		if slowness := s.stated.Lasting(); math.Abs(slowness-s.toldSlowness) >= slownessStep && len(p.placement.slownessChanges) < maxSlownessChanges {
 			p.placement.slownessChanges = append(p.placement.slownessChanges, s.slownessChange(now, slowness))
@@ -112,6 +112,37 @@
 	}
 }
 
+// loadKey returns the key of the server's start in reports of speeds.
+func (s *server) loadKey() uint64 { return serverload.Key(s.ID, s.StartedMs) }
+
+// SpeedReport returns the speeds that this router measured, for the other routers of its zone. It has no router, incarnation and
+// sequence.
+func (p *Placement) SpeedReport(now time.Time) *serverload.Report {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	r := &serverload.Report{}
+	for _, pl := range p.pools {
+		if !pl.usesLoadStatements(now) {
+			continue
+		}
+		for _, s := range pl.servers {
+			if speed, ok := s.stated.Speed(now, &pl.stated, s.loadKey()); ok {
+				r.Speeds = append(r.Speeds, speed)
+			}
+		}
+	}
+	r.Limit()
+	return r
+}
+
+// ApplySpeedReport applies what another router of the zone measured, and reports whether that is news. It takes effect for services whose servers state
+// their load to this router too.
+func (p *Placement) ApplySpeedReport(now time.Time, r *serverload.Report) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.speedPeers.Merge(now, *r)
+}
+
 // SlownessChange is a change of what the router believes of how long a server takes against the others of its service.
 type SlownessChange struct {
 	Server    string
--- a/serverload/server.go
+++ b/serverload/server.go
@@ -52,6 +52,7 @@
 	tasks      mean    // logarithm of the time that tasks took against what the service needs for them and what was stated
 	difference float64 // of the last percent from their mean, as a fraction of the mean
 	lasting    float64 // slowness against the median of the service, less 1
+	reported   float64 // weight of what other routers measured in lasting
 }
 
 // Forget discards what the server stated, because it has restarted.
@@ -145,6 +146,7 @@
 	Age        time.Duration // of the last one of both
 	Mean       float64       // stated by the server, in percent
 	Median     float64       // of the means of the service, in percent
+	Reported   float64       // weight of what other routers measured, in statements
 	Observed   float64       // time of its tasks against the median of the service, beside what was stated
 }
 
@@ -152,7 +154,7 @@
 func (s *Server) Evidence(now time.Time, service *Service) Evidence {
 	return Evidence{
 		Statements: s.percent.values, Tasks: s.tasks.values, Age: s.age(service.Moment(now)), Mean: s.percent.value, Median: service.percentMedian,
-		Observed: math.Exp(s.tasks.value - service.taskMedian),
+		Reported: s.reported, Observed: math.Exp(s.tasks.value - service.taskMedian),
 	}
 }
 
@@ -177,9 +179,11 @@
 // maxWeight is the bound on the weight of what one router measured, in statements.
 const maxWeight = 100
 
-// updateLasting takes what was measured as the lasting slowness, less the more the less is known.
-func (s *Server) updateLasting(now Moment, service *Service) {
-	logarithm, weight := s.measured(now, service)
-	slowness := math.Exp(logarithm * weight / (weight + priorLasting))
-	s.lasting = max(minLasting, min(maxLasting, slowness)) - 1
+// updateLasting takes what this router and others measured as the lasting slowness, less the more the less is known. The sum
+// is that of the logarithms that others measured, each times its weight.
+func (s *Server) updateLasting(now Moment, service *Service, sum, weight float64) {
+	logarithm, ownWeight := s.measured(now, service)
+	sum, weight = sum+logarithm*ownWeight, weight+ownWeight
+	s.reported = weight - ownWeight
+	s.lasting = max(minLasting, min(maxLasting, math.Exp(sum/(weight+priorLasting)))) - 1
 }
--- a/serverload/server_test.go
+++ b/serverload/server_test.go
@@ -1,9 +1,9 @@
 package serverload_test
 
 import (
+	"iter"
 	"math"
 	"math/rand/v2"
-	"slices"
 	"testing"
 	"time"
 
@@ -18,6 +18,18 @@
 type service struct {
 	serverload.Service
 	servers []*serverload.Server
+	peers   serverload.Peers
+}
+
+// all yields the servers by their key, which is their index.
+func (s *service) all() iter.Seq2[uint64, *serverload.Server] {
+	return func(yield func(uint64, *serverload.Server) bool) {
+		for i, x := range s.servers {
+			if !yield(uint64(i), x) {
+				return
+			}
+		}
+	}
 }
 
 func newService(servers int) *service {
@@ -32,7 +44,7 @@
 func (s *service) record(now time.Time, i int, st serverload.Statement, known int) {
 	s.servers[i].Record(now, &s.Service, st, known)
 	if s.RefreshDue(now) {
-		s.Refresh(now, slices.Values(s.servers))
+		s.Refresh(now, s.all(), &s.peers)
 	}
 }
 
@@ -49,7 +61,7 @@
 			s.record(now, i, serverload.Statement{Running: 3, Slots: 6, Percent: int(usual(i) * (0.6 + 0.8*r.Float64()))}, 0)
 		}
 	}
-	s.Refresh(now, slices.Values(s.servers))
+	s.Refresh(now, s.all(), &s.peers)
 	for i, x := range s.servers {
 		if got, want := x.Lasting(), usual(i)/119; math.Abs(got-want) > 0.2 {
 			t.Errorf("server %d: got a slowness of %.2f, want %.2f", i, got, want)
@@ -80,7 +92,7 @@
 				s.servers[i].Observe(now, &s.Service, multiple)
 			}
 		}
-		s.Refresh(now, slices.Values(s.servers))
+		s.Refresh(now, s.all(), &s.peers)
 		for i, x := range s.servers {
 			if got, want := x.Lasting(), usual(i)/1.18; math.Abs(got/want-1) > 0.25 {
 				t.Errorf("stated %v, server %d: got a slowness of %.2f, want %.2f", stated, i, got, want)
@@ -97,7 +109,7 @@
 		s.servers[0].Observe(start, &s.Service, multiple)
 		s.servers[1].Observe(start, &s.Service, 9)
 	}
-	s.Refresh(start, slices.Values(s.servers))
+	s.Refresh(start, s.all(), &s.peers)
 	for i, x := range s.servers {
 		if got := x.Lasting(); got != 1 {
 			t.Errorf("server %d: got a slowness of %v, want 1", i, got)
@@ -154,7 +166,7 @@
 		}
 	}
 	later := now.Add(time.Minute)
-	s.Refresh(later, slices.Values(s.servers))
+	s.Refresh(later, s.all(), &s.peers)
 	if got, _ := s.servers[0].Load(s.Moment(later), &s.Service); got != 0 || s.servers[0].Stated(later, &s.Service) {
 		t.Errorf("got %.2f unreported requests a minute after the last statement, want none", got)
 	}
@@ -168,7 +180,7 @@
 		now = now.Add(100 * time.Millisecond)
 		s.record(now, i%2, serverload.Statement{Running: 5, Slots: 6}, 0)
 	}
-	s.Refresh(now, slices.Values(s.servers))
+	s.Refresh(now, s.all(), &s.peers)
 	if got, _ := s.servers[2].Load(s.Moment(now), &s.Service); math.Abs(got-5) > 0.1 {
 		t.Errorf("got %.2f unreported requests, want 5 as at the others", got)
 	}
--- a/serverload/service.go
+++ b/serverload/service.go
@@ -33,15 +33,16 @@
 // RefreshDue reports whether Refresh should be called.
 func (s *Service) RefreshDue(now time.Time) bool { return now.Sub(s.refreshedAt) >= refreshPeriod }
 
-// Refresh updates how long figures hold, the mean load, and the lasting speeds of the servers against their median.
-func (s *Service) Refresh(now time.Time, servers iter.Seq[*Server]) {
+// Refresh updates how long figures hold, the mean load, and the lasting speeds of the servers, by key, against their median.
+// What other routers measured is used for servers that this router knows the load of.
+func (s *Service) Refresh(now time.Time, servers iter.Seq2[uint64, *Server], peers *Peers) {
 	s.refreshedAt = now
 	at := s.Moment(now)
 	s.load.update(loadHold)
 	s.percent.update(percentHold)
 	s.percents, s.tasks = s.percents[:0], s.tasks[:0]
 	stated, sum := 0, 0.0
-	for x := range servers {
+	for _, x := range servers {
 		if x.stated(at) {
 			stated++
 			sum += x.unreported.value
@@ -55,8 +56,9 @@
 	}
 	s.unreported = sum / float64(max(1, stated))
 	s.percentMedian, s.taskMedian = median(s.percents), median(s.tasks)
-	for x := range servers {
-		x.updateLasting(at, s)
+	for key, x := range servers {
+		sum, weight := peers.measured(now, key)
+		x.updateLasting(at, s, sum, weight)
 	}
 }
 
