--- a/gossip/gossip.go
+++ b/gossip/gossip.go
@@ -18,6 +18,7 @@
 
 	"bulrushtally/placement"
 	"bulrushtally/rollout"
+	"bulrushtally/serverload"
 	"bulrushtally/streamversion"
 )
 
@@ -61,6 +62,11 @@
 	RolloutReports(zone bool) []rollout.Report
 	// ApplyRolloutReports processes what another router or zone tells of roll-outs.
 	ApplyRolloutReports(m *RolloutReports)
+	// SpeedReport returns the speeds of backend servers that this router measured, or nil. The router's name and the number of the
+	// report are set by the caller.
+	SpeedReport() *serverload.Report
+	// ApplySpeedReport processes the speeds that another router of the zone measured.
+	ApplySpeedReport(r *serverload.Report)
 	// FleetChanged is called in each period with the current state of the fleet.
 	FleetChanged(f Fleet)
 	// RouterUnreachable is called with the name of a sender of summaries when none has come
@@ -116,6 +122,10 @@
 	sendsZone  bool          // this router sent the summary of its zone in the last period
 	noticesAt  time.Time     // when notices were due last
 	noticesDue bool          // in this period
+
+	speedsAt       time.Time // when a report of speeds was due last
+	speedsTold     bool      // the last report had speeds
+	speedsSequence uint64    // number of the last report
 }
 
 // New returns a Gossip that listens at a UDP address. It fails if the address is invalid or in use.
@@ -209,6 +219,7 @@
 	kindNotices   = 'q'
 	kindStreams   = 'b' // streams that a router has begun, to its collector
 	kindRollouts  = 'r'
+	kindSpeeds    = 'v' // speeds of backend servers, within the zone
 )
 
 // send sends a datagram to each address.
@@ -244,6 +255,7 @@
 	}
 	g.handler.FleetChanged(m.fleet)
 	g.sendStreams(m)
+	g.sendSpeeds(now)
 	if m.sendsZone != g.sendsZone {
 		g.sendsZone = m.sendsZone
 		g.logger.Info().Bool("sends", m.sendsZone).Int("zone_rank", m.fleet.ZoneRank).Int("routers", m.fleet.Alive).Msg("zone-sender-duty")
@@ -416,6 +428,11 @@
 		if err = cbor.Unmarshal(data, m); err == nil {
 			g.handleRollouts(m)
 		}
+	case kindSpeeds:
+		r := &serverload.Report{}
+		if err = cbor.Unmarshal(data, r); err == nil && r.Router != g.self {
+			g.handler.ApplySpeedReport(r)
+		}
 	default:
 		err = errUnknownKind
 	}
--- a/gossip/gossip_test.go
+++ b/gossip/gossip_test.go
@@ -16,6 +16,7 @@
 	"bulrushtally/placement"
 	"bulrushtally/quarantine"
 	"bulrushtally/rollout"
+	"bulrushtally/serverload"
 	"bulrushtally/streamversion"
 )
 
@@ -36,6 +37,7 @@
 	told         map[string]bool           // by router whose stream report came: whether this router was a collector then
 	rollouts     map[string]rollout.Report // by router
 	rolloutZones map[string]string         // zone of a router whose reports came
+	speeds       map[string][]uint64       // numbers of the reports of speeds that came, by router
 	hears        map[string][]string       // zones that a router says it hears, by router
 }
 
@@ -99,6 +101,22 @@
 	return &streamversion.Report{Begun: map[string][]byte{r.name: make([]byte, 8)}}
 }
 
+// SpeedReport reports one server that is slow, under the router's name.
+func (r *recordingHandler) SpeedReport() *serverload.Report {
+	return &serverload.Report{Incarnation: 1, Speeds: []serverload.Speed{{Key: serverload.Key(r.name, 1), Percent: 150, Weight: 9}}}
+}
+
+func (r *recordingHandler) ApplySpeedReport(report *serverload.Report) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.speeds == nil {
+		r.speeds = map[string][]uint64{}
+	}
+	if len(report.Speeds) > 0 && report.Speeds[0].Key == serverload.Key(report.Router, 1) {
+		r.speeds[report.Router] = append(r.speeds[report.Router], report.Sequence)
+	}
+}
+
 func (r *recordingHandler) ApplyStreamReport(report *streamversion.Report) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"bulrushtally/route"
+	"bulrushtally/serverload"
 	"bulrushtally/serverstatus"
 )
 
@@ -136,6 +137,7 @@
 	roleDecisions   []RoleDecision        // that RoleDecisions has not returned yet
 	zonesHeard      map[string]time.Time  // last summary of a router of the zone, by zone
 	slownessChanges []SlownessChange      // to be told
+	speedPeers      serverload.Peers      // what other routers of the zone measured
 }
 
 // New returns a Placement without services and backend servers.
