gateway: the old version serves while the new one has no server

In the last stage all requests went to the new version by rule, also when its servers had left, and complete was due since no request ran on the old ones. The old version now gets requests until complete is stored if no server of the new one is listed, and complete is not written meanwhile. The long polls for the table of states are spread as the others are.

Tests: gateway: servers of the new version leave in the shift; settings: the template with and without the bounds.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -173,7 +173,7 @@
 	})
 	g.operatorRows.rollouts = g.rollouts
 	if g.rollouts != nil {
-		g.followers.states = g.newFollower(platform.StatusTable, statusTable{g.rollouts}, func() time.Duration { return statusLongPoll })
+		g.followers.states = g.newFollower(platform.StatusTable, statusTable{g.rollouts}, func() time.Duration { return statusLongPoll - rand.N(statusLongPoll/4) })
 	}
 }
 
--- a/gateway/rollout.go
+++ b/gateway/rollout.go
@@ -35,6 +35,7 @@
 	orders      orderRows
 	status      map[string]statusRow        // by service
 	statusRead  bool                        // the table of states was read since the start
+	servers     map[string]int              // usable ones of the new version, by service
 	active      map[string]bool             // services whose roll-out the placement knows
 	logged      map[string]rollout.Progress // what was last logged, by service
 	reports     map[reportKey]heardReport   // of the other routers of the zone
@@ -85,7 +86,7 @@
 	return &rollouts{
 		rolloutOptions: o, done: make(chan struct{}), startedAt: time.Now(),
 		core:   rollout.New(rollout.Options{Limits: limits, Router: s.VM, Incarnation: o.Incarnation, Routers: s.SpareRouters + 1}),
-		orders: newOrderRows(), status: map[string]statusRow{}, active: map[string]bool{}, logged: map[string]rollout.Progress{}, reports: map[reportKey]heardReport{},
+		orders: newOrderRows(), status: map[string]statusRow{}, servers: map[string]int{}, active: map[string]bool{}, logged: map[string]rollout.Progress{}, reports: map[reportKey]heardReport{},
 		usual: map[routeKey]time.Duration{}, dueSince: map[string]time.Time{}, triedAt: map[string]time.Time{}, statusAsked: map[string]bool{},
 	}
 }
@@ -272,20 +273,24 @@
 		r.Placer.SetRollout(now, service, placement.Rollout{})
 		r.mu.Lock()
 		delete(r.active, service)
+		delete(r.servers, service)
 		delete(r.logged, service)
 		r.mu.Unlock()
 		return
 	}
 	to, trialServers := r.core.Trial(service)
+	r.mu.Lock()
+	hasServers := r.servers[service] > 0
+	r.mu.Unlock()
 	servers := r.Placer.SetRollout(now, service, placement.Rollout{
 		To: to, TrialServers: trialServers,
 		StopNew: p.State == rollout.RolledBack || p.Stopped != rollout.NoOrder,
-		StopOld: r.core.Again(now, service) == rollout.NewVersion,
+		StopOld: r.core.Again(now, service) == rollout.NewVersion && (hasServers || p.State == rollout.Complete),
 		EndOld:  p.State == rollout.Complete,
 	})
 	r.core.SetServers(service, servers)
 	r.mu.Lock()
-	r.active[service] = true
+	r.active[service], r.servers[service] = true, servers
 	last, known := r.logged[service]
 	r.logged[service] = p
 	r.mu.Unlock()
--- a/gateway/rollout_test.go
+++ b/gateway/rollout_test.go
@@ -500,6 +500,38 @@
 	}
 }
 
+// The servers of the new version go while all requests go to them. The old ones, which have not been told to stop, must serve, and
+// the roll-out must not be complete.
+func TestOldVersionServesIfTheNewOneIsGone(t *testing.T) {
+	b := newRolloutBed(t, 1, nil)
+	b.beginLoad(b.routers[0], 60)
+	time.Sleep(time.Second)
+	b.order("v2", orderSeconds)
+	b.routers[0].waitLogged("rollout-ordered")
+	if !eventually(orderSeconds*time.Second, func() bool { return b.routers[0].logged("rollout-step", `"stage":4`) }) {
+		t.Fatalf("got no shift; %s", b.steps())
+	}
+	for n := range b.new {
+		b.store.Delete("servers", fmt.Sprintf("new-%d", n))
+	}
+	b.waitGone("new-0")
+	before := received(b.old, b.ordered, time.Now())
+	time.Sleep(2 * time.Second)
+	b.endLoad()
+	if state, _ := b.state(); state == "complete" {
+		t.Errorf("got a roll-out complete without a server of the new version; %s", b.steps())
+	}
+	if got := received(b.old, b.ordered, time.Now()) - before; got < 60 {
+		t.Errorf("got %d requests at the old servers in 2 s after the new ones had gone, want most of 120; %s", got, b.steps())
+	}
+}
+
+// waitGone waits until the first router has removed a server.
+func (b *rolloutBed) waitGone(id string) {
+	b.t.Helper()
+	b.routers[0].waitLogged("server-unlisted", id)
+}
+
 // A stream that runs on an old server when the roll-out could be complete must not be cut off with that server, nor go on at the
 // other version.
 func TestCompleteWaitsForTheStreamsOfOldServers(t *testing.T) {
--- a/gateway/rolloutstatus.go
+++ b/gateway/rolloutstatus.go
@@ -147,6 +147,8 @@
 	switch {
 	case exists && stored.isNewerThan(p.Order), !r.statusRead:
 		due = false
+	case due && state == rollout.Complete && p.State == rollout.Serving && r.servers[service] == 0:
+		due = false // the old servers are all that is left
 	case !due && !(exists && stored.isOf(p.Order)):
 		due, state = true, rollout.Serving // tells routers that start when the order began
 	}
--- a/settings/gateway_test.go
+++ b/settings/gateway_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"errors"
+	"os"
+	"regexp"
 	"strings"
 	"testing"
 	"time"
@@ -104,3 +106,32 @@
 		}
 	}
 }
+
+// The platform fills the template; what a deployment lacks is empty there. A router whose settings file had it did not start.
+func TestTemplateIsValidWithoutTheBoundsOfRollOuts(t *testing.T) {
+	template, err := os.ReadFile("../deploy/gateway.ini.tmpl")
+	if err != nil {
+		t.Fatal(err)
+	}
+	values := map[string]string{
+		"node": "front-a-1", "zone": "zone-a", "ip": "10.0.0.1", "bootstrap": "true", "limits.memory_mb": "256", "limits.max_fds": "4096",
+		"listen.front": "10.0.0.1:80", "listen.ready": "10.0.0.1:81", "port_range.0": "7400", "provider.addr": "10.0.0.9:90",
+		"bounds.expose_share": "", "bounds.expose_slack": "", "bounds.rollback_ms": "",
+	}
+	fill := func(name string) string {
+		if value, ok := values[strings.Trim(name, "{}")]; ok {
+			return value
+		}
+		return "5"
+	}
+	placeholder := regexp.MustCompile(`\{\{[^}]*\}\}`)
+	g, err := settings.ParseGateway([]byte(placeholder.ReplaceAllStringFunc(string(template), fill)))
+	if err != nil || g.RollsOut() {
+		t.Errorf("got error %v and roll-outs, want neither", err)
+	}
+	values["bounds.expose_share"], values["bounds.expose_slack"], values["bounds.rollback_ms"] = "0.1", "50", "5000"
+	g, err = settings.ParseGateway([]byte(placeholder.ReplaceAllStringFunc(string(template), fill)))
+	if err != nil || !g.RollsOut() {
+		t.Errorf("got error %v and no roll-outs, want them", err)
+	}
+}
