rollout: evidence that outlasts outages, slow starts and few answers; tests of failures

Cause: the first evidence rolled good versions back after an outage of both versions or a slow start, let a version that turned slow complete, and did not bound the error of a rate that few answers gave.

Near the deadline less evidence for the version will do.

--- a/rollout/fleet_test.go
+++ b/rollout/fleet_test.go
@@ -14,6 +14,8 @@
 const (
 	service = "quotes"
 	tick    = 10 * time.Millisecond
+
+	versionServers = 10
 )
 
 var (
@@ -53,6 +55,7 @@
 	fiftiethAt        time.Time
 	lastSent          time.Time // to the new version, before the verdict
 	oldRunning        int
+	newRunning        int
 	oldAtComplete     int
 	resent            int // requests sent to the old version after Complete was written
 }
@@ -65,10 +68,16 @@
 
 // newFleet returns n routers that know the order.
 func newFleet(t testing.TB, seed uint64, n int) *fleet {
+	return newFleetWith(t, seed, n, func(*fleet) {})
+}
+
+// newFleetWith returns a fleet that differs from the usual one.
+func newFleetWith(t testing.TB, seed uint64, n int, change func(f *fleet)) *fleet {
 	f := &fleet{TB: t, random: rand.New(rand.NewPCG(seed, 1)), now: start, perSec: 200, period: 200 * time.Millisecond, delay: 50 * time.Millisecond,
 		cut:  func(*fleet, int, int) bool { return false },
 		away: func(*fleet, int) bool { return false },
 		old:  sound, new: sound, takes: 300 * time.Millisecond, order: order}
+	change(f)
 	for i := range n {
 		f.add(fmt.Sprintf("router-%d", i), n)
 	}
@@ -79,6 +88,7 @@
 func (f *fleet) add(name string, n int) {
 	r := rollout.New(rollout.Options{Limits: limits, Router: name, Incarnation: uint64(len(f.routers) + 1), Routers: n})
 	r.SetOrder(f.now, f.order)
+	r.SetServers(service, versionServers)
 	f.routers = append(f.routers, r)
 	f.names = append(f.names, name)
 	for _, other := range f.routers {
@@ -180,6 +190,9 @@
 			f.exposed++
 		}
 	}
+	if version == "v2" {
+		f.newRunning++
+	}
 	fails, factor := behaves(f, route)
 	took := time.Duration(factor * float64(f.takes))
 	f.pending = append(f.pending, event{f.now.Add(took), func() { f.answer(r, version, route, fails, took) }})
@@ -197,6 +210,7 @@
 		f.oldRunning--
 		return
 	}
+	f.newRunning--
 	if fails || took > 3*f.takes {
 		if f.bad++; f.bad == 50 {
 			f.fiftiethAt = f.now
--- a/rollout/rollout.go
+++ b/rollout/rollout.go
@@ -239,7 +239,7 @@
 	}
 }
 
-// Lasted records how long a request or stream of a service ran. The shift allows for the 95th percentile.
+// Lasted records how long a request or stream of a service ran. The shift allows for the 99th percentile.
 func (r *Rollout) Lasted(service string, d time.Duration) {
 	if !r.options.Enabled() {
 		return
@@ -253,10 +253,10 @@
 	s.durations.RecordValue(min(max(1, d.Milliseconds()), longestMs))
 }
 
-// usualDuration returns the 95th percentile of the durations, or the default one if none were recorded.
-func (s *service) usualDuration() time.Duration {
+// longDuration returns the 99th percentile of the durations, or the default one if none were recorded.
+func (s *service) longDuration() time.Duration {
 	if s.durations == nil {
 		return unknownDuration
 	}
-	return time.Duration(s.durations.ValueAtQuantile(95)) * time.Millisecond
+	return time.Duration(s.durations.ValueAtQuantile(99)) * time.Millisecond
 }
--- a/rollout/trial.go
+++ b/rollout/trial.go
@@ -33,6 +33,7 @@
 	unknownDuration = time.Second            // of requests, if none has ended
 	updatePeriod    = 50 * time.Millisecond  // between two weighings of the evidence
 	usableFraction  = 0.85                   // of each bound, since requests may be delayed in transit
+	trialShare      = 0.5                    // of the requests, that the trial gets at most
 	badAnswers      = 50                     // from which the version must get no more requests, after RollbackDelay
 	hearingPart     = 5                      // RollbackDelay over the age of a report that still counts as heard
 	releasePart     = 4                      // Duration over the time in which ExposeSlack is given out
@@ -72,9 +73,11 @@
 	manyBadAt time.Time // when the bad answers reached the limit; zero if they have not
 	held      bool      // the trial gets nothing for now, since too few routers are heard to keep the bound
 	failing   float64   // evidence of failures, in the strongest window
-	slowing   float64   // evidence of slow answers
+	slowing   float64   // evidence of slow answers that last
+	slowNow   float64   // evidence of slow answers that may be those of a slow start
 	suspected float64   // evidence of either, without a least number of bad answers
 	favour    float64   // evidence for the version
+	leans     bool      // all answers together are rather those of a version that fails
 }
 
 // newTrial returns the state of an order that was just read.
@@ -151,12 +154,14 @@
 
 // allowed returns how many requests the version may get from this router while it is on trial, on average over the offsets at
 // which routers round. Rounding deviates by up to half the square root of the number of routers, in standard deviations; four of
-// them are kept back. The slack is given out over a part of the time: the first answers come before most of it is used.
+// them are kept back. The slack is given out over a part of the time: the first answers come before most of it is used. Where it would be
+// most of the requests, the old version keeps its part: without it there is nothing to compare with.
 func (t *trial) allowed(now time.Time) float64 {
 	n := float64(t.options.Routers)
 	slack := usableFraction*float64(t.options.ExposeSlack) - math.Sqrt(n)
 	released := min(1, max(0, float64(now.Sub(t.order.Began))*releasePart/float64(t.order.Duration)))
-	return usableFraction*t.options.ExposeShare*float64(t.counted) + max(0, slack)*released/n
+	bound := usableFraction*t.options.ExposeShare*float64(t.counted) + max(0, slack)*released/n
+	return min(bound, trialShare*float64(t.counted))
 }
 
 // badLimit returns the number of bad answers known here from which more than badAnswers may have been given. Routers that are not
--- a/rollout/verdict.go
+++ b/rollout/verdict.go
@@ -9,6 +9,7 @@
 	drainedTime = 300 * time.Millisecond // for which the old servers must have got nothing before Complete
 	silentTime  = 10 * time.Second       // beyond the usual duration, after which a router that is no member counts as gone
 	gracePart   = 5                      // RollbackDelay over the time that 50 bad answers leave for the evidence
+	latePart    = 0.4                    // of the time until the shift has to begin, in which ever less evidence for the version will do
 	orphanTime  = 30 * time.Second       // after the deadline, when a router that hears few others ends an order without evidence
 )
 
@@ -40,17 +41,23 @@
 // lastWrite returns when a verdict has to be written to be in the store by the deadline.
 func (t *trial) lastWrite() time.Time { return t.deadline().Add(-writeTime) }
 
-// condemning returns the evidence that stops the trial. A bad version has to be rolled back by the deadline.
+// condemning returns the evidence that stops the trial. A bad version has to be rolled back by the deadline, so doubts suffice then
+// for one that has not all requests yet.
 func (t *trial) condemning(now time.Time) float64 {
-	if now.Before(t.lastWrite()) {
+	switch {
+	case now.Before(t.lastWrite()):
 		return condemns
+	case t.stage < stageAll:
+		return doubts
 	}
 	return condemnsLate
 }
 
 // doubted reports whether the evidence is too strong for a step towards the version. After the deadline it either stops the trial
 // or does not count, so that an order ends also without further requests.
-func (t *trial) doubted(now time.Time) bool { return now.Before(t.deadline()) && t.worst() >= doubts }
+func (t *trial) doubted(now time.Time) bool {
+	return now.Before(t.deadline()) && max(t.worst(), t.slowNow) >= doubts
+}
 
 // advance takes the next stage if its time has come and the evidence holds.
 func (t *trial) advance(now time.Time) {
@@ -81,7 +88,7 @@
 
 // lastShift returns when the shift has to begin for the order to be complete by its deadline.
 func (t *trial) lastShift() time.Time {
-	need := 2*shiftStep + drainedTime + t.service.usualDuration() + writeTime
+	need := 2*shiftStep + drainedTime + t.service.longDuration()*3/2 + writeTime
 	return t.deadline().Add(-min(need, t.order.Duration*3/4))
 }
 
@@ -92,13 +99,14 @@
 		return false
 	}
 	late := t.lateness(now)
-	return t.favour >= clears-(clears-clearsLate)*late && t.since(nil, nil).routesSeen(1-late)
+	return !t.leans && t.suspected < suspects && t.favour >= clears-(clears-clearsLate)*late && t.since(nil, nil).routesSound(late)
 }
 
-// lateness returns how near the deadline is: 0 until the shift has to begin, then up to 1 half-way to the deadline.
+// lateness returns how near the last moment for the shift is: 0 until the last part of the time before it, and 1 from then on.
 func (t *trial) lateness(now time.Time) float64 {
 	last := t.lastShift()
-	return min(1, max(0, 2*float64(now.Sub(last))/float64(t.deadline().Sub(last))))
+	part := latePart * float64(last.Sub(t.order.Began))
+	return min(1, max(0, 1-float64(last.Sub(now))/part))
 }
 
 // Verdict returns what this router would write to the store now, why, and whether it is due. A verdict that the store has is
@@ -163,9 +171,9 @@
 func (t *trial) gone(now time.Time, router string, p *peer) bool {
 	silent := now.Sub(p.heardAt)
 	if t.members[router] {
-		return silent >= orphanTime+t.service.usualDuration() && now.After(t.deadline().Add(orphanTime))
+		return silent >= orphanTime+t.service.longDuration() && now.After(t.deadline().Add(orphanTime))
 	}
-	return silent >= silentTime+t.service.usualDuration()
+	return silent >= silentTime+t.service.longDuration()
 }
 
 // Trial returns the version of a service's order, "" without one, and how many servers of it the trial uses; 0 means all. With as
