--- a/gateway/rollout.go
+++ b/gateway/rollout.go
@@ -306,8 +306,10 @@
 	r.Logger.Info().Str("service", service).Str("to", p.Order.To).Uint64("order", p.Order.Number).Uint64("era", p.Order.Era).
 		Stringer("state", p.State).Stringer("stopped", p.Stopped).Stringer("reason", reason).Uint8("stage", p.Stage).Float64("share", p.Share).Bool("held", p.Held).
 		Dur("order_age_ms", now.Sub(p.Order.Began)).Dur("left_ms", p.Order.Began.Add(p.Order.Duration).Sub(now)).Dur("shift_in_ms", p.LastShift.Sub(now)).
-		Uint64("requests", p.Requests).Uint64("sent", p.Sent).Float64("allowed", p.Allowed).Uint64("bad", p.Bad).Uint64("fleet_sent", p.FleetSent).Uint64("fleet_bad", p.FleetBad).
-		Int("routers_heard", p.Heard).Int("routers", p.Routers).Int("old_in_flight", p.OldInFlight).Int("servers", servers).Int("trial_servers", trialServers).
+		Uint64("requests", p.Requests).Uint64("sent", p.Sent).Float64("allowed", p.Allowed).Uint64("bad", p.Bad).Uint64("fleet_sent", p.FleetCounts.Sent).Uint64("fleet_bad", p.FleetCounts.Bad).
+		Int("routers_heard", p.FleetCounts.Heard).Int("routers", p.Routers).Int("old_in_flight", p.OldInFlight).Int("fleet_old_in_flight", p.FleetCounts.OldInFlight).
+		Uint32("old_answers", p.FleetCounts.OldAnswers).Uint32("old_failed", p.FleetCounts.OldFailed).Uint32("new_answers", p.FleetCounts.NewAnswers).Uint32("new_failed", p.FleetCounts.NewFailed).
+		Int("servers", servers).Int("trial_servers", trialServers).
 		Float64("evidence_failing", p.Failing).Float64("evidence_slow", p.Slowing).Float64("evidence_sound", p.Favour).Msg("rollout-step")
 }
 
--- a/gateway/rolloutstatus.go
+++ b/gateway/rolloutstatus.go
@@ -168,7 +168,7 @@
 	r.triedAt[service] = now
 	row = platform.RolloutStatus{
 		Status: rollout.Status{Order: p.Order.Number, Era: p.Order.Era, To: p.Order.To, State: state}, BeganAt: r.storeTime(now, p.Order.Began),
-		Router: r.VM, Reason: reason.String(), Requests: p.Requests, Sent: p.FleetSent, Bad: p.FleetBad,
+		Router: r.VM, Reason: reason.String(), Requests: p.Requests, Sent: p.FleetCounts.Sent, Bad: p.FleetCounts.Bad,
 	}
 	return row, stored.version, true
 }
