--- a/gateway/rollout.go
+++ b/gateway/rollout.go
@@ -35,6 +35,7 @@
 	orders      orderRows
 	status      map[string]statusRow        // by service
 	statusRead  bool                        // the table of states was read since the start
+	servers     map[string]int              // usable ones of the new version, by service
 	active      map[string]bool             // services whose roll-out the placement knows
 	logged      map[string]rollout.Progress // what was last logged, by service
 	reports     map[reportKey]heardReport   // of the other routers of the zone
@@ -85,7 +86,7 @@
 	return &rollouts{
 		rolloutOptions: o, done: make(chan struct{}), startedAt: time.Now(),
 		core:   rollout.New(rollout.Options{Limits: limits, Router: s.VM, Incarnation: o.Incarnation, Routers: s.SpareRouters + 1}),
-		orders: newOrderRows(), status: map[string]statusRow{}, active: map[string]bool{}, logged: map[string]rollout.Progress{}, reports: map[reportKey]heardReport{},
+		orders: newOrderRows(), status: map[string]statusRow{}, servers: map[string]int{}, active: map[string]bool{}, logged: map[string]rollout.Progress{}, reports: map[reportKey]heardReport{},
 		usual: map[routeKey]time.Duration{}, dueSince: map[string]time.Time{}, triedAt: map[string]time.Time{}, statusAsked: map[string]bool{},
 	}
 }
@@ -117,23 +118,38 @@
 	r.core.Began(now, service, version, route)
 }
 
-// Ended records how an attempt ended.
-func (r *rollouts) Ended(service, version, route string, e placement.Ending) {
+// Answered records that the first event of a stream has come.
+func (r *rollouts) Answered(service, version, route string, e placement.Ending) {
+	if result := resultOf(e); result != rollout.Lost {
+		r.core.Answered(e.At, service, version, route, result, e.First, r.expected(service, version, route, result, e))
+	}
+}
+
+// Ended records how an attempt ended. The end of a stream that was answered says nothing more unless it broke.
+func (r *rollouts) Ended(service, version, route string, e placement.Ending, answered bool) {
 	result := resultOf(e)
-	expected := e.Expected
-	if expected == 0 && e.First > 0 {
-		to, _ := r.core.Trial(service)
-		expected = r.usualTime(routeKey{service, route}, e.First, result == rollout.OK && version != to)
+	if answered && result != rollout.Failed {
+		result = rollout.Lost
 	}
-	r.core.Ended(e.At, service, version, route, result, e.First, expected)
+	r.core.Ended(e.At, service, version, route, result, e.First, r.expected(service, version, route, result, e))
 	if !e.Unsent {
 		r.core.Lasted(service, e.Lasted)
 	}
 }
 
+// expected returns the time that an answer is expected to take: by the model of the service, or for a plain service as its old
+// versions usually take.
+func (r *rollouts) expected(service, version, route string, result rollout.Result, e placement.Ending) time.Duration {
+	if e.Expected > 0 || e.First <= 0 || result == rollout.Lost {
+		return e.Expected
+	}
+	to, _ := r.core.Trial(service)
+	return r.usualTime(routeKey{service, route}, e.First, result == rollout.OK && version != to)
+}
+
 // resultOf returns what the end of an attempt says of the server's version. A connection that breaks before the answer may
 // be a cut link or a crash; only one that breaks in the middle of a stream is a failed answer. Answers of cold servers say
-// nothing of how fast a version is.
+// nothing of how fast a version is, and the rest of a migrated stream says nothing of when it began.
 func resultOf(e placement.Ending) rollout.Result {
 	switch {
 	case e.Unsent:
@@ -142,7 +158,7 @@
 		return rollout.Failed
 	case e.Result == placement.TimedOut && e.First > 0 && !e.Cold:
 		return rollout.Slow
-	case e.Result == placement.Done && !e.Cold:
+	case e.Result == placement.Done && e.First > 0 && !e.Cold:
 		return rollout.OK
 	}
 	return rollout.Lost
@@ -257,20 +273,24 @@
 		r.Placer.SetRollout(now, service, placement.Rollout{})
 		r.mu.Lock()
 		delete(r.active, service)
+		delete(r.servers, service)
 		delete(r.logged, service)
 		r.mu.Unlock()
 		return
 	}
 	to, trialServers := r.core.Trial(service)
+	r.mu.Lock()
+	hasServers := r.servers[service] > 0
+	r.mu.Unlock()
 	servers := r.Placer.SetRollout(now, service, placement.Rollout{
 		To: to, TrialServers: trialServers,
 		StopNew: p.State == rollout.RolledBack || p.Stopped != rollout.NoOrder,
-		StopOld: r.core.Again(now, service) == rollout.NewVersion,
+		StopOld: r.core.Again(now, service) == rollout.NewVersion && (hasServers || p.State == rollout.Complete),
 		EndOld:  p.State == rollout.Complete,
 	})
 	r.core.SetServers(service, servers)
 	r.mu.Lock()
-	r.active[service] = true
+	r.active[service], r.servers[service] = true, servers
 	last, known := r.logged[service]
 	r.logged[service] = p
 	r.mu.Unlock()
@@ -286,8 +306,10 @@
 	r.Logger.Info().Str("service", service).Str("to", p.Order.To).Uint64("order", p.Order.Number).Uint64("era", p.Order.Era).
 		Stringer("state", p.State).Stringer("stopped", p.Stopped).Stringer("reason", reason).Uint8("stage", p.Stage).Float64("share", p.Share).Bool("held", p.Held).
 		Dur("order_age_ms", now.Sub(p.Order.Began)).Dur("left_ms", p.Order.Began.Add(p.Order.Duration).Sub(now)).Dur("shift_in_ms", p.LastShift.Sub(now)).
-		Uint64("requests", p.Requests).Uint64("sent", p.Sent).Float64("allowed", p.Allowed).Uint64("bad", p.Bad).Uint64("fleet_sent", p.FleetSent).Uint64("fleet_bad", p.FleetBad).
-		Int("routers_heard", p.Heard).Int("routers", p.Routers).Int("old_in_flight", p.OldInFlight).Int("servers", servers).Int("trial_servers", trialServers).
+		Uint64("requests", p.Requests).Uint64("sent", p.Sent).Float64("allowed", p.Allowed).Uint64("bad", p.Bad).Uint64("fleet_sent", p.FleetCounts.Sent).Uint64("fleet_bad", p.FleetCounts.Bad).
+		Int("routers_heard", p.FleetCounts.Heard).Int("routers", p.Routers).Int("old_in_flight", p.OldInFlight).Int("fleet_old_in_flight", p.FleetCounts.OldInFlight).
+		Uint32("old_answers", p.FleetCounts.OldAnswers).Uint32("old_failed", p.FleetCounts.OldFailed).Uint32("new_answers", p.FleetCounts.NewAnswers).Uint32("new_failed", p.FleetCounts.NewFailed).
+		Int("servers", servers).Int("trial_servers", trialServers).
 		Float64("evidence_failing", p.Failing).Float64("evidence_slow", p.Slowing).Float64("evidence_sound", p.Favour).Msg("rollout-step")
 }
 
--- a/gateway/rolloutstatus.go
+++ b/gateway/rolloutstatus.go
@@ -147,6 +147,8 @@
 	switch {
 	case exists && stored.isNewerThan(p.Order), !r.statusRead:
 		due = false
+	case due && state == rollout.Complete && p.State == rollout.Serving && r.servers[service] == 0:
+		due = false // the old servers are all that is left
 	case !due && !(exists && stored.isOf(p.Order)):
 		due, state = true, rollout.Serving // tells routers that start when the order began
 	}
@@ -166,7 +168,7 @@
 	r.triedAt[service] = now
 	row = platform.RolloutStatus{
 		Status: rollout.Status{Order: p.Order.Number, Era: p.Order.Era, To: p.Order.To, State: state}, BeganAt: r.storeTime(now, p.Order.Began),
-		Router: r.VM, Reason: reason.String(), Requests: p.Requests, Sent: p.FleetSent, Bad: p.FleetBad,
+		Router: r.VM, Reason: reason.String(), Requests: p.Requests, Sent: p.FleetCounts.Sent, Bad: p.FleetCounts.Bad,
 	}
 	return row, stored.version, true
 }
