--- a/rollout/trial.go
+++ b/rollout/trial.go
@@ -78,6 +78,7 @@
 	suspected float64   // evidence of either, without a least number of bad answers
 	favour    float64   // evidence for the version
 	leans     bool      // all answers together are rather those of a version that fails
+	doubtful  bool      // the evidence was too strong for a step when it was weighed last
 }
 
 // newTrial returns the state of an order that was just read.
@@ -141,9 +142,13 @@
 	return NewVersion
 }
 
-// chooseInShift gives the version its share of all requests.
+// chooseInShift gives the version its share of all requests, or that of the exposure bound while it is doubted.
 func (t *trial) chooseInShift() Choice {
-	t.credit += stageShares[t.stage]
+	share := stageShares[t.stage]
+	if t.doubtful {
+		share = usableFraction * t.options.ExposeShare
+	}
+	t.credit += share
 	if t.credit < 1 {
 		return OldVersion
 	}
@@ -229,6 +234,7 @@
 	t.weigh(now)
 	t.snap(now)
 	t.judge(now)
+	t.doubtful = t.doubted(now)
 	t.advance(now)
 }
 
--- a/rollout/verdict.go
+++ b/rollout/verdict.go
@@ -56,12 +56,13 @@
 // doubted reports whether the evidence is too strong for a step towards the version. After the deadline it either stops the trial
 // or does not count, so that an order ends also without further requests.
 func (t *trial) doubted(now time.Time) bool {
-	return now.Before(t.deadline()) && max(t.worst(), t.slowNow) >= doubts
+	leans := t.leans && t.stage >= stageShift && t.stage < stageAll
+	return now.Before(t.deadline()) && (leans || max(t.worst(), t.slowNow) >= doubts)
 }
 
 // advance takes the next stage if its time has come and the evidence holds.
 func (t *trial) advance(now time.Time) {
-	if t.stopped != NoOrder || t.doubted(now) || t.held {
+	if t.stopped != NoOrder || t.doubtful || t.held {
 		return
 	}
 	switch {
@@ -83,7 +84,7 @@
 		return true
 	}
 	wait := t.lastShift().Sub(t.order.Began) * time.Duration(t.stage+1) / 4
-	return t.suspected < suspects && (t.heard > 0 || t.options.Routers == 1) && now.Sub(t.order.Began) >= wait && now.Sub(t.knownAt) >= wait/2
+	return !t.leans && t.suspected < suspects && (t.heard > 0 || t.options.Routers == 1) && now.Sub(t.order.Began) >= wait && now.Sub(t.knownAt) >= wait/2
 }
 
 // lastShift returns when the shift has to begin for the order to be complete by its deadline.
@@ -125,7 +126,7 @@
 		return t.state, Stored, !t.stored
 	case t.stopped != NoOrder:
 		return RolledBack, t.stopped, true
-	case t.stage < stageShift && t.evidenceMissing(now):
+	case (t.stage < stageShift || t.stage < stageAll && t.leans) && t.evidenceMissing(now):
 		return RolledBack, NoEvidence, true
 	case t.stage < stageShift:
 		return Serving, OnTrial, false
--- a/rollout/verdict_test.go
+++ b/rollout/verdict_test.go
@@ -66,6 +66,7 @@
 		{"failing on one route", rollout.RolledBack, func(f *fleet) { f.new = on("other", failing(0.5)) }},
 		{"slow", rollout.RolledBack, func(f *fleet) { f.new = slowBy(3) }},
 		{"slow at 20 requests a second", rollout.RolledBack, func(f *fleet) { f.new, f.perSec = slowBy(3), 20 }},
+		{"slow late", rollout.RolledBack, func(f *fleet) { f.new = after(0.45, sound, slowBy(4)) }},
 		{"slow on one route", rollout.RolledBack, func(f *fleet) { f.new = on("flaky", slowBy(4)) }},
 	} {
 		for _, n := range []int{1, 6} {
