--- a/serverload/server.go
+++ b/serverload/server.go
@@ -21,6 +21,8 @@
 	minPairs     = 4                      // statements from which the mean is known well enough to learn how long figures hold
 	minPairAge   = time.Millisecond       // statements of one moment say nothing of how long figures hold
 
+	maxStatedPerSlot = 2 // requests that count of a statement; more would say nothing of where the next one is served soonest
+
 	minLasting, maxLasting     = 0.4, 3.0
 	minMomentary, maxMomentary = 0.33, 3.0
 )
@@ -78,7 +80,7 @@
 	if !s.stated(at) {
 		s.unreported = mean{}
 	}
-	service.load.learn(at, &s.unreported, loadSpan, float64(st.Running+st.Waiting-known))
+	service.load.learn(at, &s.unreported, loadSpan, float64(min(st.Running+st.Waiting, maxStatedPerSlot*st.Slots)-known))
 	if st.Percent > 0 {
 		service.percent.learn(at, &s.percent, percentSpan, float64(st.Percent))
 		if s.percent.values >= minPairs {
--- a/serverload/server_test.go
+++ b/serverload/server_test.go
@@ -256,3 +256,26 @@
 		s.record(now, i%140, serverload.Statement{Running: 5, Slots: 6, Percent: 80 + i%40}, 1)
 	}
 }
+
+// Fails if one server that states an absurd load makes the others of its service seem full, so that requests are refused though they
+// are idle.
+func TestAbsurdLoadOfOneServerLeavesTheOthersUsable(t *testing.T) {
+	for _, waiting := range []int{300, 65536} {
+		s := newService(9)
+		now := start
+		for range 20 {
+			now = now.Add(500 * time.Millisecond)
+			for i := range s.servers {
+				s.record(now, i, serverload.Statement{Running: 3, Slots: 16}, 3)
+			}
+		}
+		s.record(now.Add(time.Millisecond), 0, serverload.Statement{Running: 3, Waiting: waiting, Slots: 16}, 3)
+		for _, later := range []time.Duration{time.Second, 5 * time.Second, 9 * time.Second, 10500 * time.Millisecond} {
+			at := now.Add(later)
+			s.Refresh(at, s.all(), &s.peers)
+			if got, _ := s.servers[1].Load(s.Moment(at), &s.Service); got > 3 {
+				t.Errorf("%v after a statement of %d waiting requests: got %.1f unknown requests at another server, want 3 at most", later, waiting, got)
+			}
+		}
+	}
+}
--- a/serverload/service.go
+++ b/serverload/service.go
@@ -22,6 +22,7 @@
 	epoch         time.Time // of moments
 	percents      []float64 // reused, as is tasks
 	tasks         []float64
+	loads         []float64
 }
 
 // Moment is a time since the epoch of a service. A decision that asks for many servers takes it once.
@@ -41,11 +42,10 @@
 	s.load.update(loadHold)
 	s.percent.update(percentHold)
 	s.percents, s.tasks = s.percents[:0], s.tasks[:0]
-	stated, sum := 0, 0.0
+	s.loads = s.loads[:0]
 	for _, x := range servers {
 		if x.stated(at) {
-			stated++
-			sum += x.unreported.value
+			s.loads = append(s.loads, x.unreported.value)
 		}
 		if x.percent.values > 0 {
 			s.percents = append(s.percents, x.percent.value)
@@ -54,7 +54,7 @@
 			s.tasks = append(s.tasks, x.tasks.value)
 		}
 	}
-	s.unreported = sum / float64(max(1, stated))
+	s.unreported = median(s.loads)
 	s.percentMedian, s.taskMedian = median(s.percents), median(s.tasks)
 	for key, x := range servers {
 		sum, weight := peers.measured(now, key)
