serverload: a server that was slow is tried again after minutes, not after most of an hour

Found in review: only the weight of what was measured faded, and 60 statements against a prior of 4 keep their say for long: a slowness of 2.8 was 2.64 a minute later and 1.88 after ten, while the server got no requests. The slowness itself fades now, by half a minute. TestServerThatWasSlowIsTriedAgain failed before.

--- a/serverload/server.go
+++ b/serverload/server.go
@@ -175,7 +175,8 @@
 		logarithm += (s.tasks.value - service.taskMedian) * n / (n + priorTasks)
 		weight += taskWeight * n
 	}
-	return logarithm, min(weight, maxWeight) * fade(s.age(now), lastingHold)
+	left := fade(s.age(now), lastingHold)
+	return logarithm * left, min(weight, maxWeight) * left
 }
 
 // maxWeight is the bound on the weight of what one router measured, in statements.
--- a/serverload/server_test.go
+++ b/serverload/server_test.go
@@ -279,3 +279,32 @@
 		}
 	}
 }
+
+// Fails if a server that was slow gets no requests for long, since without them it has no chance to state that it is as fast as others.
+func TestServerThatWasSlowIsTriedAgain(t *testing.T) {
+	s := newService(9)
+	now := start
+	for range 60 {
+		now = now.Add(500 * time.Millisecond)
+		for i := range s.servers {
+			percent := 100
+			if i == 0 {
+				percent = 300
+			}
+			s.record(now, i, serverload.Statement{Running: 3, Slots: 6, Percent: percent}, 3)
+		}
+	}
+	for _, test := range []struct {
+		later time.Duration
+		most  float64
+	}{{time.Minute, 1.9}, {10 * time.Minute, 1.1}} { // half of the slowness a minute, and nearly nothing of it
+		at := now.Add(test.later)
+		for i := 1; i < len(s.servers); i++ {
+			s.record(at, i, serverload.Statement{Running: 3, Slots: 6, Percent: 100}, 3)
+		}
+		s.Refresh(at, s.all(), &s.peers)
+		if got := s.servers[0].Lasting(); got > test.most {
+			t.Errorf("%v after its last statement: got a slowness of %.2f, want %.2f at most", test.later, got, test.most)
+		}
+	}
+}
