--- a/placement/placement.go
+++ b/placement/placement.go
@@ -157,6 +157,7 @@
 	for name, s := range t.Services() {
 		if old := p.pools[name]; old != nil {
 			old.service = s
+			old.rolesAssignedAt = time.Time{}
 			continue
 		}
 		p.pools[name] = newPool(p, s)
--- a/placement/server.go
+++ b/placement/server.go
@@ -129,7 +129,8 @@
 // to it. It lowers busyUntil to what the requests without a first event can take at most,
 // which limits the error of the model.
 func (s *server) prefillWait(now time.Time) time.Duration {
-	latest := now.Add(s.prefillTime(now, s.pendingCost+float64(s.remoteTotal.pendingPrefill)))
+	pending := s.pendingCost + float64(s.remoteTotal.pendingPrefill)
+	latest := now.Add(max(s.prefillTime(now, pending), s.lastingPrefillTime(now, pending)))
 	if s.busyUntil.After(latest) {
 		s.busyUntil = latest
 	}
@@ -177,6 +178,15 @@
 	return time.Duration(tokens * s.pool.msPerToken * s.slowness(now) * float64(time.Millisecond))
 }
 
+// lastingPrefillTime is prefillTime without what the server states of this moment.
+func (s *server) lastingPrefillTime(now time.Time, tokens float64) time.Duration {
+	slowness := s.slowdown
+	if s.pool.usesLoadStatements(now) {
+		slowness = min(maxSlowdown, slowness*s.stated.Lasting())
+	}
+	return time.Duration(tokens * s.pool.msPerToken * slowness * float64(time.Millisecond))
+}
+
 // reservedForOther reports whether the server is reserved for another request which w
 // must not overtake.
 func (s *server) reservedForOther(w *waiter) bool {
