spillover: a router whose zone is full is not held to an equal part of what other zones have free

Parts of routers of the zone itself were lost; customers above their share got no part of one request; at short intervals the part of a silent zone shrank too slowly. Change: the routers of a zone need no part of it; half a part is rounded by rank too; a part shrinks within four periods' reports; a request that home has no room for may use half of what a zone gives out in a period, while that is one request a router or more.

--- a/placement/pool.go
+++ b/placement/pool.go
@@ -149,11 +149,11 @@
 	if sr.spareOnly && sr.prefillFraction < minPrefillFraction {
 		return candidate{}, false
 	}
-	for _, s := range p.servers {
-		if p.disaggregated && s.prefillServer != sr.wantsPrefill && !p.ignoresRoles(w.request) {
-			continue // a stream that keeps to a version takes any server of it
-		}
-		sr.consider(s)
+	sr.considerRole()
+	if !sr.found && !sr.spareOnly && w.rejections.Spillover > 0 {
+		sr.allowNeeded() // home has no room for the request
+		w.rejections = Rejections{}
+		sr.considerRole()
 	}
 	if !sr.found && p.disaggregated && !sr.wantsPrefill && !sr.spareOnly && !p.ignoresRoles(w.request) {
 		for _, s := range p.servers {
@@ -179,6 +179,18 @@
 	return sr.best, sr.found
 }
 
+// considerRole considers the servers of the role that the request belongs on. A stream that keeps to a version takes any server
+// of it.
+func (sr *search) considerRole() {
+	p, req := sr.pool, sr.waiter.request
+	for _, s := range p.servers {
+		if p.disaggregated && s.prefillServer != sr.wantsPrefill && !p.ignoresRoles(req) {
+			continue
+		}
+		sr.consider(s)
+	}
+}
+
 // search is one pass over a pool's model servers for a request.
 type search struct {
 	pool            *pool
--- a/placement/spillover.go
+++ b/placement/spillover.go
@@ -59,6 +59,13 @@
 		st.view.Zones[i] = spillover.ZoneLoad{Name: st.view.Zones[i].Name}
 		st.roles[i] = [2]roleLoad{}
 	}
+	for _, peer := range p.placement.peers {
+		for i := range st.view.Zones {
+			if z := &st.view.Zones[i]; z.Name == peer.zone {
+				z.Routers += max(1, peer.zoneRouters)
+			}
+		}
+	}
 	version := ""
 	for _, s := range p.servers {
 		i := st.zone(s.Zone)
@@ -165,6 +172,14 @@
 	}
 }
 
+// allowNeeded sets the bounds of requests that home has no room for.
+func (sr *search) allowNeeded() {
+	st := &sr.pool.spillover
+	for i, z := range st.view.Zones {
+		st.allowed[i] = st.policy.AllowsNeeded(z.Name, z.Running)
+	}
+}
+
 // maySpill reports whether the request may go to the server by the bounds of its zone. A request may always follow its
 // shared segments to their owner: prefilling them again takes capacity from the whole service.
 func (sr *search) maySpill(s *server) bool {
--- a/spillover/policy.go
+++ b/spillover/policy.go
@@ -41,6 +41,7 @@
 	ReportAge    time.Duration // time since the last report, if Heard
 	OutOfService bool
 	Running      int // requests of this router in flight there
+	Routers      int // routers of the zone, which need no part of it; 0 if unknown
 }
 
 // View is what a Policy decides from. The slice is not kept.
@@ -75,6 +76,7 @@
 	bounded  bool
 	limit    int       // number of requests of this router in flight there from which on no more spill over
 	spare    int       // the same for requests of customers above their fair share
+	most     int       // the same for requests that home has no room for
 	closed   bool      // nothing spilled over to it at the last update
 	openedAt time.Time // when it was last found to be back; zero if it was open since the start
 }
@@ -280,17 +282,28 @@
 	z.closed = closed
 	z.bounded = l.Heard && l.ReportAge < maxSilence || l.OutOfService
 	if closed {
-		z.limit, z.spare = 0, 0
+		z.limit, z.spare, z.most = 0, 0, 0
 		return
 	}
-	free := freePart * l.Free * (1 - min(1, float64(l.ReportAge)/float64(v.silence())))
+	free := freePart * l.Free * (1 - min(1, float64(l.ReportAge)/float64(silentIntervals*max(v.Interval, minPeriod/intervalsInPeriod))))
 	if !z.openedAt.IsZero() {
 		free *= min(1, float64(now.Sub(z.openedAt))/float64(returnTime))
 	}
-	n := round(free/float64(max(1, v.Routers)), v, period)
-	z.limit, z.spare = l.Running+n, l.Running+n/2
+	part := free / float64(max(1, v.Routers-l.Routers))
+	z.limit, z.spare = l.Running+round(part, v, period), l.Running+round(part/2, v, period)
+	z.most = z.limit
+	if free >= amplePart*float64(max(1, v.Routers-l.Routers)) {
+		z.most = max(z.limit, l.Running+int(needPart*free))
+	}
 }
 
+// Limits of what one router may send to a zone beyond its part, since home has no room for it. A part is too little for a router
+// that takes much more than the others, and most of them use none of theirs.
+const (
+	amplePart = 1.0 // requests in each part, from which on a zone has capacity for such a router
+	needPart  = 0.5 // of the free capacity that is given out in a period
+)
+
 // turn is the fraction of the ranks by which the remainder of a split moves on with each period; the golden ratio spreads
 // it evenly.
 const turn = 0.6180339887498949
@@ -304,6 +317,16 @@
 	return int(part + offset)
 }
 
+// AllowsNeeded reports whether a request that home has no room for may go to a zone, in which this router has a number of requests in
+// flight.
+func (p *Policy) AllowsNeeded(name string, running int) bool {
+	if !p.On() {
+		return true
+	}
+	z := p.find(name)
+	return z == nil || !z.bounded || running < z.most
+}
+
 // Allows reports whether a request may spill over to a zone, in which this router has a number of requests in flight.
 // Customers above their fair share (spare) get at most half of the part, so that the others find some left. Anything is
 // allowed while the policy is off.
