placement: a request of a trial does not wait behind one of its customer for the old versions

Found in review: the kind of a waiting request did not say to which versions it may go, so that one which idle servers of the new version could take queued behind another and was refused after its wait. TestRequestOfTheTrialDoesNotWaitBehindOnesForOldVersions.

--- a/placement/queue.go
+++ b/placement/queue.go
@@ -26,10 +26,13 @@
 type kind struct {
 	longPrompt, spareOnly bool
 	version               string // that the request keeps to
+	rule                  VersionRule
 }
 
 // kind returns the waiter's kind.
-func (w *waiter) kind() kind { return kind{w.longPrompt, w.spareOnly(), w.request.Version} }
+func (w *waiter) kind() kind {
+	return kind{w.longPrompt, w.spareOnly(), w.request.Version, w.request.Rule}
+}
 
 // await waits until a queued request gets a server, maxWait passes or ctx ends.
 func (p *Placement) await(ctx context.Context, pl *pool, w *waiter, maxWait time.Duration) (*Grant, *Refusal) {
--- a/placement/rollout_test.go
+++ b/placement/rollout_test.go
@@ -264,3 +264,23 @@
 		})
 	}
 }
+
+// Fails if a request that may use idle servers of the new version waits behind one of its customer for the old versions.
+func TestRequestOfTheTrialDoesNotWaitBehindOnesForOldVersions(t *testing.T) {
+	p := newRollout(false, placement.Rollout{})
+	for _, id := range []string{"old-0", "old-1", "old-2"} {
+		p.RemoveServer(id)
+	}
+	waits := make(chan struct{})
+	waiting := newRequest("a", 100)
+	waiting.Rule, waiting.OnWait = placement.OldVersion, func() { close(waits) }
+	ctx, stop := context.WithCancel(context.Background())
+	defer stop()
+	go p.Admit(ctx, waiting)
+	<-waits
+	req := newRequest("a", 100)
+	req.Rule = placement.NewVersion
+	if g, refusal := p.Admit(ctx, req); g == nil {
+		t.Errorf("got %v, want a server of the new version", refusal)
+	}
+}
