--- a/gateway/rollout.go
+++ b/gateway/rollout.go
@@ -110,8 +110,14 @@
 // Release gives back the choice of the new version.
 func (r *rollouts) Release(now time.Time, service string) { r.core.Release(now, service) }
 
-// Sent records that a request is sent to a server of a version.
-func (r *rollouts) Sent(now time.Time, service, version string) { r.core.Sent(now, service, version) }
+// Sent records that a request is sent to a server of a version. chosen says whether it holds the choice of the new version.
+func (r *rollouts) Sent(now time.Time, service, version string, chosen bool) {
+	if chosen {
+		r.core.Sent(now, service, version)
+		return
+	}
+	r.core.SentUnchosen(now, service, version)
+}
 
 // Began records that an attempt has begun.
 func (r *rollouts) Began(now time.Time, service, version, route string) {
@@ -284,7 +290,7 @@
 	r.mu.Unlock()
 	servers := r.Placer.SetRollout(now, service, placement.Rollout{
 		To: to, TrialServers: trialServers,
-		StopNew: p.State == rollout.RolledBack || p.Stopped != rollout.NoOrder,
+		StopNew: p.State == rollout.RolledBack || p.State == rollout.Serving && p.Stopped != rollout.NoOrder,
 		StopOld: r.core.Again(now, service) == rollout.NewVersion && (hasServers || p.State == rollout.Complete),
 		EndOld:  p.State == rollout.Complete,
 	})
--- a/gateway/rollout_test.go
+++ b/gateway/rollout_test.go
@@ -611,3 +611,38 @@
 		t.Errorf("got a row or a log line of a roll-out, want none; log:\n%s", s.logs)
 	}
 }
+
+// A router that had stopped the new version read that another one had written complete, and sent requests to no version at all.
+func TestRouterThatStoppedTheVersionServesOnceItIsComplete(t *testing.T) {
+	var link *platformtest.Link
+	b := newRolloutBed(t, 1, map[int]func(*platformtest.Store) string{0: func(s *platformtest.Store) string {
+		link = newLink(t, s.Address())
+		return link.Address()
+	}})
+	b.beginLoad(b.routers[0], 60)
+	for _, s := range b.new {
+		s.SetBadVersion(&platformtest.BadVersion{FailShare: 0.5, After: time.Now().Add(2 * time.Second)})
+	}
+	b.order("v2", orderSeconds)
+	b.waitState(2*time.Second, "serving")
+	link.SetBlocked(platformtest.ToTarget, true)
+	if !eventually(10*time.Second, func() bool { return strings.Contains(b.steps(), `"stopped":"more failures"`) }) {
+		t.Fatalf("got no stop of a version that fails; steps:\n%s", b.steps())
+	}
+	value := string(b.store.Value("status", "rollout/desk"))
+	b.store.Put("status", "rollout/desk", json.RawMessage(strings.Replace(value, `"serving"`, `"complete"`, 1)))
+	for _, s := range b.new {
+		s.SetBadVersion(nil)
+	}
+	link.SetBlocked(platformtest.ToTarget, false)
+	if !eventually(8*time.Second, func() bool { return strings.Contains(b.steps(), `"state":"complete"`) }) {
+		t.Fatalf("got no step to complete; steps:\n%s", b.steps())
+	}
+	time.Sleep(200 * time.Millisecond) // for requests that were placed before
+	failed := b.failed.Load()
+	time.Sleep(time.Second)
+	if got := b.failed.Load() - failed; got > 0 {
+		t.Errorf("got %d failed requests in a second after complete was read, want 0", got)
+	}
+	b.endLoad()
+}
--- a/ingress/version.go
+++ b/ingress/version.go
@@ -124,8 +124,8 @@
 	Again(now time.Time, service string) placement.VersionRule
 	// Release gives back the rule placement.NewVersion of a request that was not sent to the new version.
 	Release(now time.Time, service string)
-	// Sent records that a request is sent to a server of a version.
-	Sent(now time.Time, service, version string)
+	// Sent records that a request is sent to a server of a version. chosen says whether it holds the choice of the new version.
+	Sent(now time.Time, service, version string, chosen bool)
 	// Began records that an attempt at a server of a version has begun. A call of Ended follows.
 	Began(now time.Time, service, version, route string)
 	// Answered records that the first event of a stream has come.
@@ -192,12 +192,13 @@
 		x.versionEnded = true
 		return true
 	}
-	if g.IsNewVersion() {
+	chosen := x.holdsNewVersion && g.IsNewVersion()
+	if chosen {
 		x.holdsNewVersion = false
 	} else {
 		x.releaseVersion()
 	}
-	r.Sent(now, x.service.Name, g.ServerVersion())
+	r.Sent(now, x.service.Name, g.ServerVersion(), chosen)
 	return false
 }
 
--- a/rollout/order.go
+++ b/rollout/order.go
@@ -48,7 +48,8 @@
 	OK Result = iota
 	Slow
 	Failed
-	Lost // no answer: no evidence by itself
+	Lost    // no answer: no evidence by itself
+	Untimed // an answer without a fault whose time says nothing, as that of a cold server
 )
 
 // Choice is the version that a request may go to.
--- a/rollout/report.go
+++ b/rollout/report.go
@@ -157,7 +157,7 @@
 		list = append(list, Report{
 			Service: t.order.Service, Router: r.options.Router, Incarnation: r.options.Incarnation, Order: t.order.Number, Era: t.order.Era,
 			Sequence: t.sequence, Routes: append([]RouteCounts(nil), t.own.routes...), OldInFlight: t.oldInFlight(),
-			Requests: t.requests, Sent: t.sent, Bad: t.own.bad, Stage: t.stage, Stopped: t.stopped != NoOrder,
+			Requests: t.requests, Sent: t.sent, Bad: t.own.bad, Stage: t.stage, Stopped: t.stopped != NoOrder && t.state != Complete,
 		})
 	}
 	return list
--- a/rollout/rollout.go
+++ b/rollout/rollout.go
@@ -81,7 +81,13 @@
 		case o.Era < t.order.Era || o.Era == t.order.Era && o.Number <= t.order.Number:
 			return false
 		}
+		complete := t.state == Complete && t.order.To == o.To
 		s.replace()
+		if complete { // the old servers have stopped: there is nothing to try, and the verdict is due for the new row
+			s.trial = newTrial(now, r, s, o)
+			s.trial.state, s.trial.endedAt = Complete, now
+			return true
+		}
 	}
 	s.trial = newTrial(now, r, s, o)
 	return true
@@ -188,6 +194,16 @@
 	}
 }
 
+// SentUnchosen records that a request was sent to a server of a version that holds no choice: a stream that goes on at its version, or
+// a further attempt.
+func (r *Rollout) SentUnchosen(now time.Time, service, version string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if s := r.services[service]; s != nil && s.trial != nil && version == s.trial.order.To {
+		s.trial.sent++
+	}
+}
+
 // Release gives back the choice NewVersion of a request that was not sent to the version.
 func (r *Rollout) Release(now time.Time, service string) {
 	r.mu.Lock()
@@ -223,7 +239,7 @@
 
 // Ended records how a request or stream ended. first is the time from sending to the first byte of the answer, and expected what
 // it would take at the same load and prompt size; 0 if unknown, and then res alone tells whether the answer was slow. Answers of
-// cold servers are recorded with the time expected of a cold server, or as Lost.
+// cold servers are recorded with the time expected of a cold server, or as Untimed.
 func (r *Rollout) Ended(now time.Time, service, version, route string, res Result, first, expected time.Duration) {
 	if !r.options.Enabled() {
 		return
--- a/rollout/verdict.go
+++ b/rollout/verdict.go
@@ -96,7 +96,7 @@
 // shiftDue reports whether the evidence is complete and it is time to shift.
 func (t *trial) shiftDue(now time.Time) bool {
 	last := t.lastShift()
-	if now.Before(last) && now.Before(t.order.Began.Add(t.order.Duration/2)) || now.After(t.deadline()) {
+	if now.Before(last) && now.Before(t.order.Began.Add(t.order.Duration/2)) || now.After(t.deadline()) && !t.peerShifts(now) {
 		return false
 	}
 	late := t.lateness(now)
@@ -142,12 +142,22 @@
 // that know more.
 func (t *trial) evidenceMissing(now time.Time) bool {
 	end := t.lastWrite()
-	if !t.hearsMost() {
+	if !t.hearsMost() || t.peerShifts(now) {
 		end = end.Add(orphanTime)
 	}
 	return !now.Before(end)
 }
 
+// peerShifts reports whether another router has begun the shift and goes on with it: it had the evidence that this one lacks.
+func (t *trial) peerShifts(now time.Time) bool {
+	for _, p := range t.peers {
+		if !p.retired && !p.Stopped && p.Stage >= stageShift && now.Sub(p.heardAt) <= t.options.RollbackDelay/hearingPart {
+			return true
+		}
+	}
+	return false
+}
+
 // drained reports whether no router sends anything to the old servers or waits for anything from them.
 func (t *trial) drained(now time.Time) bool {
 	if t.oldInFlight() > 0 {
