--- a/overload/overload.go
+++ b/overload/overload.go
@@ -48,7 +48,7 @@
 	perSecond := float64(d.rejected) / now.Sub(d.windowAt).Seconds()
 	overloaded := perSecond >= minRejectedPerSecond && float64(d.rejected) >= minRejectedPart*float64(d.accepted+d.rejected)
 	d.windowAt, d.accepted, d.rejected = now, 0, 0
-	if !overloaded || d.pausing(now) { // the load balancer notices a pause late, so that what comes in it says nothing of the time after it
+	if !overloaded || d.resting(now) {
 		d.overloaded = 0
 		return false
 	}
@@ -68,6 +68,10 @@
 	return min(maxPause, 2*d.pause)
 }
 
+// resting reports whether a pause goes on, or ended less than its length ago; d.mu is held. The load balancer notices a pause late, so
+// that what comes in it says nothing of the time after it, and routers that took turns in longer pauses would leave their zone to none.
+func (d *Detector) resting(now time.Time) bool { return d.pause > 0 && now.Sub(d.pausedAt) < 2*d.pause }
+
 // pausing reports whether a pause is going on; d.mu is held.
 func (d *Detector) pausing(now time.Time) bool {
 	return d.pause > 0 && now.Sub(d.pausedAt) < d.pause
--- a/overload/overload_test.go
+++ b/overload/overload_test.go
@@ -1,5 +1,7 @@
 package overload_test
 
+// This file tests when a Detector asks for no new connections.
+
 import (
 	"testing"
 	"time"
@@ -33,6 +35,14 @@
 	}
 }
 
+// Routers of a zone that take the flood in turn would all be out of rotation at once.
+func TestRouterIsInRotationAsLongAsOutOfIt(t *testing.T) {
+	var d overload.Detector
+	if got := play(&d, 0, 120*time.Second, 100, 900, 20); got > 65*time.Second {
+		t.Errorf("got %v without new connections in 120 s of a flood, want about half of the time at most", got)
+	}
+}
+
 // A router that stayed out of rotation after a flood would leave its capacity unused.
 func TestRouterReturnsAfterTheFlood(t *testing.T) {
 	var d overload.Detector
@@ -42,6 +52,7 @@
 	}
 }
 
+// A router that paused for every rejected connection would leave its zone fewer routers than its callers need.
 func TestLoadThatIsServedOrShortKeepsTheRouterInRotation(t *testing.T) {
 	tests := []struct {
 		name               string
