roles: a router that has just started does not overestimate the demand, and a split returns after a burst

Found in review. Other routers report the demand of whole spans, which was divided by this router's age: 4,380 requests a second assumed, 1,200 true, a second after the start, by which most starting routers ended the split of deployment D for good in a fleet of 6. TestSplitReturnsAfterABurst. Open: bursts to five times the load still end the split for some minutes.

--- a/placement/rolechange.go
+++ b/placement/rolechange.go
@@ -88,16 +88,17 @@
 func (p *pool) costPerSecond(now time.Time) float64 {
 	shares := p.placement.shares
 	bucket := shares.bucket(now)
-	here, all := 0.0, 0.0
+	here, remote := 0.0, 0.0
 	for _, c := range shares.customers {
 		here += c.local(bucket).demand
-		all += c.usage(bucket).demand
+		remote += c.remote.demand
 	}
 	if here == 0 {
 		return 0
 	}
 	span := min(slidingSpan, max(bucketLength, now.Sub(shares.startedAt)))
-	return all * min(1, p.arrived.sum(bucket)/here) / span.Seconds()
+	perSecond := here/span.Seconds() + remote/slidingSpan.Seconds() // other routers report whole spans
+	return perSecond * min(1, p.arrived.sum(bucket)/here)
 }
 
 // decideRoles updates the decision whether some of the usable servers prefill for the others. Some do where the
--- a/roles/decider.go
+++ b/roles/decider.go
@@ -17,7 +17,7 @@
 // Third, the migration of a stream takes so much of the event gap that callers allow that it costs them what the split
 // saves: half of the gap is left for the decode step and for the way of the event.
 const (
-	maxLoad, loadToReturn                           = 1.5, 1.15
+	maxLoad, loadToReturn                           = 1.5, 1.3
 	minTogetherLoad                                 = 1.2        // for the first
 	minSplitCapacity, splitCapacityToReturn         = 0.83, 0.90 // relative to the pool without prefill servers
 	minGainAtRisk, gainToReturn                     = 1.1, 1.0   // of the requests that are served
--- a/roles/roles_test.go
+++ b/roles/roles_test.go
@@ -288,3 +288,17 @@
 		}
 	})
 }
+
+// Fails if a burst ends the split of a deployment that is better served with it for good: its usual load is near the limit to return.
+func TestSplitReturnsAfterABurst(t *testing.T) {
+	for seed := range uint64(4) {
+		d := deployments[3] // D
+		r := routerOf{deployment: &d, random: rand.New(rand.NewPCG(seed, 3))}
+		r.run(start, 60, 1, 0.02, 0.5)
+		r.run(start.Add(time.Minute), 10, 5, 0.02, 0.5)
+		r.run(start.Add(70*time.Second), 600, 1, 0.02, 0.5)
+		if !r.decider.Split() {
+			t.Errorf("seed %d: got no split ten minutes after a burst of ten seconds, want one", seed)
+		}
+	}
+}
