--- a/placement/statement.go
+++ b/placement/statement.go
@@ -217,6 +217,9 @@
 	s.stated.Observe(now, &s.pool.stated, milliseconds(g.firstEventAt.Sub(g.sentAt))/cmp.Or(float64(g.statedLoad.Percent), usualPercent))
 }
 
+// maxDeniedFraction is the fraction of the requests that routers know of which a server's statement may deny.
+const maxDeniedFraction = 0.5
+
 // expectedRunning returns the requests at the server by what it stated and by what the router knows of since then.
 func (s *server) expectedRunning(now time.Time) int {
 	known := s.knownRunning()
@@ -224,6 +227,7 @@
 		return known
 	}
 	unreported, _ := s.stated.Load(s.pool.stated.Moment(now), &s.pool.stated)
+	unreported = max(unreported, -maxDeniedFraction*float64(known)) // a server that always claims to be idle would be filled by each router
 	return max(s.running, known+int(math.Round(unreported)))
 }
 
--- a/placement/summary.go
+++ b/placement/summary.go
@@ -187,8 +187,10 @@
 		}
 	}
 	if unreachable && s.failures == 0 && !s.cold(now) {
+		if !s.maybeRestarted {
+			s.stated.Forget() // once: a router that does not reach the server repeats so in each summary
+		}
 		s.maybeRestarted = true
-		s.stated.Forget()
 	}
 }
 
