--- a/gateway/flood_test.go
+++ b/gateway/flood_test.go
@@ -1,5 +1,7 @@
 package gateway_test
 
+// This file tests a router that must reject most of its new connections.
+
 import (
 	"io"
 	"net"
--- a/gateway/revoked_test.go
+++ b/gateway/revoked_test.go
@@ -1,5 +1,7 @@
 package gateway_test
 
+// This file tests requests whose backend server must get no more between their assignment and their write.
+
 import (
 	"context"
 	"net/http"
--- a/gossip/gossip.go
+++ b/gossip/gossip.go
@@ -124,7 +124,7 @@
 	noticesDue bool          // in this period
 
 	speedsAt       time.Time // when a report of speeds was due last
-	speedsTold     bool      // the last report had speeds
+	speedsSent     bool      // the last report had speeds
 	speedsSequence uint64    // number of the last report
 }
 
--- a/gossip/speeds.go
+++ b/gossip/speeds.go
@@ -18,10 +18,10 @@
 	}
 	g.speedsAt = now
 	r := g.handler.SpeedReport()
-	if r == nil || len(r.Speeds) == 0 && !g.speedsTold {
+	if r == nil || len(r.Speeds) == 0 && !g.speedsSent {
 		return
 	}
-	g.speedsTold = len(r.Speeds) > 0
+	g.speedsSent = len(r.Speeds) > 0
 	g.speedsSequence++
 	r.Router, r.Sequence = g.self, g.speedsSequence
 	data, err := cbor.Marshal(r)
--- a/ingress/admission.go
+++ b/ingress/admission.go
@@ -89,7 +89,7 @@
 }
 
 // rejectsPerTurn is how many connections are rejected before the requests that are being served
-// get the processor. A flood would otherwise delay them, and the news that callers have left.
+// get the processor. A flood would otherwise delay them, and the detection of callers that have left.
 const rejectsPerTurn = 128
 
 // rejectWaiting rejects connections that wait to be accepted, while none may be accepted, and returns how many. In a flood most of
--- a/placement/server.go
+++ b/placement/server.go
@@ -77,10 +77,10 @@
 	coldRequests eventWindow // requests sent while the server was cold
 	limit        serverlimit.Limit
 	stated       serverload.Server // load and speed, by its own statements
-	toldSlowness float64           // lasting slowness that was told last
+	loggedSlowness float64           // lasting slowness that was told last
 
-	rejectedLoads      int // statements of load that were rejected since rejectedLoadToldAt
-	rejectedLoadToldAt time.Time
+	rejectedLoads      int // statements of load that were rejected since rejectedLoadLoggedAt
+	rejectedLoadLoggedAt time.Time
 	status             *serverstatus.Status // outlives the listing
 
 	sentTokens     uint64 // prefill tokens sent by this router, a counter in its summaries
@@ -97,7 +97,7 @@
 // newServer returns a listed server without load.
 func newServer(p *pool, entry ServerEntry) *server {
 	return &server{
-		ServerEntry: entry, hash: xxhash.Sum64String(entry.ID), pool: p, listed: true, slowdown: 1, toldSlowness: 1, remoteLoads: map[string]remoteLoad{},
+		ServerEntry: entry, hash: xxhash.Sum64String(entry.ID), pool: p, listed: true, slowdown: 1, loggedSlowness: 1, remoteLoads: map[string]remoteLoad{},
 		segments: newSegmentCache(p.segmentCacheTokens()), status: p.placement.statuses.Of(entry.ID),
 	}
 }
--- a/placement/statement.go
+++ b/placement/statement.go
@@ -54,9 +54,9 @@
 	}
 	if st.RejectedLoad != "" {
 		s.rejectedLoads++
-		if now.Sub(s.rejectedLoadToldAt) >= rejectedLoadPeriod {
+		if now.Sub(s.rejectedLoadLoggedAt) >= rejectedLoadPeriod {
 			c.RejectedLoads = s.rejectedLoads
-			s.rejectedLoads, s.rejectedLoadToldAt = 0, now
+			s.rejectedLoads, s.rejectedLoadLoggedAt = 0, now
 		}
 	}
 	if st.Leaving {
@@ -105,9 +105,9 @@
 		}
 	}, &p.placement.speedPeers)
 	for _, s := range p.servers {
-		if slowness := s.stated.Lasting(); math.Abs(slowness-s.toldSlowness) >= slownessStep && len(p.placement.slownessChanges) < maxSlownessChanges {
+		if slowness := s.stated.Lasting(); math.Abs(slowness-s.loggedSlowness) >= slownessStep && len(p.placement.slownessChanges) < maxSlownessChanges {
 			p.placement.slownessChanges = append(p.placement.slownessChanges, s.slownessChange(now, slowness))
-			s.toldSlowness = slowness
+			s.loggedSlowness = slowness
 		}
 	}
 }
@@ -158,7 +158,7 @@
 )
 
 func (s *server) slownessChange(now time.Time, to float64) SlownessChange {
-	return SlownessChange{Server: s.ID, StartedMs: s.StartedMs, From: s.toldSlowness, To: to, Evidence: s.stated.Evidence(now, &s.pool.stated)}
+	return SlownessChange{Server: s.ID, StartedMs: s.StartedMs, From: s.loggedSlowness, To: to, Evidence: s.stated.Evidence(now, &s.pool.stated)}
 }
 
 // SlownessChanges returns the changes of lasting slowness since the last call, at most maxSlownessChanges.
--- a/roles/decider.go
+++ b/roles/decider.go
@@ -24,9 +24,9 @@
 	maxMigrationFraction, migrationFractionToReturn = 0.5, 0.35  // of the event gap
 )
 
-// calmTime is how long the load must stay below loadToReturn before the pool is split again for it. The load follows the time of
+// lowLoadTime is how long the load must stay below loadToReturn before the pool is split again for it. The load follows the time of
 // day, and servers that change roles hold segments that others need.
-const calmTime = 2 * time.Minute
+const lowLoadTime = 2 * time.Minute
 
 // Limits on how fast a decision follows its inputs.
 const (
@@ -115,6 +115,6 @@
 	if a.MigrationMs > migrationFractionToReturn*a.EventGapMs {
 		return true
 	}
-	calm := now.Sub(d.busyAt) >= calmTime
-	return !calm && (a.Decode >= a.Prefill && capacity < splitCapacityToReturn || capacity*gainToReturn < 1-a.AtRisk)
+	loadIsLow := now.Sub(d.busyAt) >= lowLoadTime
+	return !loadIsLow && (a.Decode >= a.Prefill && capacity < splitCapacityToReturn || capacity*gainToReturn < 1-a.AtRisk)
 }
--- a/rollout/evidence.go
+++ b/rollout/evidence.go
@@ -9,24 +9,24 @@
 
 // Evidence is in natural logarithms of odds: how much likelier the answers are if the version is bad than if it is as the old one.
 const (
-	condemns     = 7.0 // odds of 1,100 to 1 that the version is bad
-	condemnsLate = 5.0 // the same once 50 bad answers are known, when waiting costs more
-	doubts       = 3.0 // the version gets no more than it has
-	suspects     = 1.0 // a router that hears few others sends no more
-	clears       = 3.0 // odds of 20 to 1 against the least fault
-	clearsLate   = 1.0 // the same when the deadline is near
+	rollbackEvidence     = 7.0 // odds of 1,100 to 1 that the version is bad
+	lateRollbackEvidence = 5.0 // the same once 50 bad answers are known, when waiting costs more
+	pauseEvidence        = 3.0 // the version gets no more than it has
+	holdEvidence         = 1.0 // a router that hears few others sends no more
+	shiftEvidence        = 3.0 // odds of 20 to 1 against the least fault
+	lateShiftEvidence    = 1.0 // the same when the deadline is near
 )
 
 // Figures of the comparison.
 const (
 	leastFault     = 0.15  // share of answers that the least fault to be found makes fail
 	leastSlow      = 0.3   // share of answers that it makes slow
-	leastExcess    = 4     // bad answers beyond the expected number, so that one incident of one server convicts no version
+	leastExcess    = 4     // bad answers beyond the expected number, so that one incident of one server is no proof against a version
 	leastPrior     = 5     // answers of a window that the rate of the whole order counts as, if the old version has many there
 	mostPrior      = 30    // the same if it has none there
 	matchedPrior   = 2     // the same between two snapshots, where the rate of that moment is wanted
 	priorFalls     = 3     // from one to the other, for each answer of the old version in the window
-	baselineErrors = 2     // standard errors by which the expected rate is raised against wrong convictions
+	baselineErrors = 2     // standard errors by which the expected rate is raised against wrong rollbacks
 	leastRate      = 0.005 // of failures of a sound version
 	mostDesigned   = 0.25  // failure rate of old servers up to which a version is cleared by being like them
 	slowBuckets    = 3     // buckets beyond the old version's median: at least 2 times, at most 2.8 times as slow
@@ -197,7 +197,7 @@
 	return sum, ok
 }
 
-// routesSound reports whether each large route has as many answers as it needs by itself, and none leans towards the least fault. Near
+// routesSound reports whether each large route has as many answers as it needs by itself, and none favours the least fault. Near
 // the deadline, when late goes from 0 to 1, less will do.
 func (w window) routesSound(late float64) bool {
 	all := uint32(0)
@@ -209,7 +209,7 @@
 			continue
 		}
 		s := w.failures(i)
-		if s.newAnswers < (1-late)*routeAnswers || late < 1 && s.odds(min(s.baseline(0), mostDesigned), leastFault) > late*doubts {
+		if s.newAnswers < (1-late)*routeAnswers || late < 1 && s.odds(min(s.baseline(0), mostDesigned), leastFault) > late*pauseEvidence {
 			return false
 		}
 	}
@@ -287,10 +287,10 @@
 func (t *trial) weigh(now time.Time) {
 	whole := t.since(nil, nil)
 	answers := whole.answers()
-	t.suspected, t.failing = whole.failing(0), whole.failing(leastExcess)
+	t.suspicion, t.failing = whole.failing(0), whole.failing(leastExcess)
 	t.slowing, t.slowNow = 0, 0
 	sound := whole.soundAnswers()
-	t.leans = sound < 0
+	t.favoursFault = sound < 0
 	soundTimes, timed := whole.soundTimes()
 	for i, s := range t.snapshots {
 		w := t.since(s, nil)
@@ -302,7 +302,7 @@
 		}
 		t.slowing = max(t.slowing, t.slowTwice(now, i))
 	}
-	t.suspected = max(t.suspected, t.slowing)
+	t.suspicion = max(t.suspicion, t.slowing)
 	t.favour = sound
 	if timed {
 		t.favour = min(sound, soundTimes)
@@ -321,7 +321,7 @@
 	for recent+1 < len(t.snapshots) && now.Sub(t.snapshots[recent].at) > length/recentPart {
 		recent++
 	}
-	if t.since(t.snapshots[recent], nil).slowing(0) < doubts {
+	if t.since(t.snapshots[recent], nil).slowing(0) < pauseEvidence {
 		return 0
 	}
 	t.slowNow = max(t.slowNow, late)
--- a/rollout/moment_test.go
+++ b/rollout/moment_test.go
@@ -11,7 +11,7 @@
 
 // Guards against a router that found the version bad, reads complete, and has the others stop the version as well.
 func TestStoppedRouterThatReadsCompleteStopsNobody(t *testing.T) {
-	r, now := condemned(t, "a")
+	r, now := failingRouter(t, "a")
 	r.SetStatus(now, status(rollout.Complete), service)
 	if got := r.Report(now)[0].Stopped; got {
 		t.Error("report after complete was read: got stopped, want not")
--- a/rollout/order_test.go
+++ b/rollout/order_test.go
@@ -34,8 +34,8 @@
 	}
 }
 
-// condemned returns a router that found the version bad.
-func condemned(t *testing.T, name string) (*rollout.Rollout, time.Time) {
+// failingRouter returns a router that found the version bad.
+func failingRouter(t *testing.T, name string) (*rollout.Rollout, time.Time) {
 	r := newRouter(name, 1, 2)
 	now := start.Add(time.Second)
 	answers(r, now, "v1", 200, rollout.OK)
@@ -49,7 +49,7 @@
 
 // Guards against routers that act on their own verdict after another one was written, and against verdicts that change.
 func TestFirstWrittenVerdictWins(t *testing.T) {
-	r, now := condemned(t, "a")
+	r, now := failingRouter(t, "a")
 	if got := r.Choose(now, service); got != rollout.OldVersion {
 		t.Errorf("choice of router that found the version bad: got %v, want old", got)
 	}
@@ -152,7 +152,7 @@
 
 // Guards against a router that goes on sending to a version that another one found bad.
 func TestStoppedByPeer(t *testing.T) {
-	a, now := condemned(t, "a")
+	a, now := failingRouter(t, "a")
 	b := newRouter("b", 1, 2)
 	for _, report := range a.Report(now) {
 		b.Merge(now, report)
--- a/rollout/trial.go
+++ b/rollout/trial.go
@@ -57,35 +57,35 @@
 	reserved                int
 	credit                  float64 // of the version in the shift, in requests
 	offset                  float64 // in [0,1): where this router rounds up, so that rounding averages out over routers
-	lot                     float64 // in [0,1): whether this router may try the version when it is alone
+	isolationHash           float64 // in [0,1): whether this router may try the version when it is alone
 
 	own      tally // answers at this router
 	total    tally // answers at all routers
 	peers    map[peerKey]*peer
 	sequence uint64
 
-	stage     uint8
-	stageAt   time.Time
-	snapshots []*snapshot
-	buffer    []RouteCounts
-	updatedAt time.Time
-	heard     int       // other routers heard lately
-	manyBadAt time.Time // when the bad answers reached the limit; zero if they have not
-	held      bool      // the trial gets nothing for now, since too few routers are heard to keep the bound
-	failing   float64   // evidence of failures, in the strongest window
-	slowing   float64   // evidence of slow answers that last
-	slowNow   float64   // evidence of slow answers that may be those of a slow start
-	suspected float64   // evidence of either, without a least number of bad answers
-	favour    float64   // evidence for the version
-	leans     bool      // all answers together are rather those of a version that fails
-	doubtful  bool      // the evidence was too strong for a step when it was weighed last
+	stage        uint8
+	stageAt      time.Time
+	snapshots    []*snapshot
+	buffer       []RouteCounts
+	updatedAt    time.Time
+	heard        int       // other routers heard lately
+	manyBadAt    time.Time // when the bad answers reached the limit; zero if they have not
+	held         bool      // the trial gets nothing for now, since too few routers are heard to keep the bound
+	failing      float64   // evidence of failures, in the strongest window
+	slowing      float64   // evidence of slow answers that last
+	slowNow      float64   // evidence of slow answers that may be those of a slow start
+	suspicion    float64   // evidence of either, without a least number of bad answers
+	favour       float64   // evidence for the version
+	favoursFault bool      // all answers together are rather those of a version that fails
+	doubtful     bool      // the evidence was too strong for a step when it was weighed last
 }
 
 // newTrial returns the state of an order that was just read.
 func newTrial(now time.Time, r *Rollout, s *service, o Order) *trial {
 	t := &trial{Rollout: r, service: s, order: o, knownAt: now, stageAt: now, own: newTally(), total: newTally(), peers: map[peerKey]*peer{}}
 	t.offset = t.hash("round")
-	t.lot = t.hash("alone")
+	t.isolationHash = t.hash("alone")
 	t.credit = t.offset
 	t.snap(now)
 	return t
@@ -181,7 +181,7 @@
 // mayTryAlone reports whether a router that is alone may send the version a request: one at a time, and only at as many routers as
 // the bound has bad answers.
 func (t *trial) mayTryAlone() bool {
-	return t.reserved == 0 && t.service.running[t.order.To] == 0 && t.lot < t.badLimit()
+	return t.reserved == 0 && t.service.running[t.order.To] == 0 && t.isolationHash < t.badLimit()
 }
 
 // oldInFlight returns the requests and streams of this router on the servers that the order ends.
--- a/rollout/verdict.go
+++ b/rollout/verdict.go
@@ -10,7 +10,7 @@
 	silentTime  = 10 * time.Second       // beyond the usual duration, after which a router that is no member counts as gone
 	gracePart   = 5                      // RollbackDelay over the time that 50 bad answers leave for the evidence
 	latePart    = 0.4                    // of the time until the shift has to begin, in which ever less evidence for the version will do
-	orphanTime  = 30 * time.Second       // after the deadline, when a router that hears few others ends an order without evidence
+	silentGrace = 30 * time.Second       // after the deadline, when a router that hears few others ends an order without evidence
 )
 
 // worst returns the evidence against the version.
@@ -27,13 +27,13 @@
 	case t.manyBadAt.IsZero():
 		t.manyBadAt = now
 	}
-	t.held = !t.manyBadAt.IsZero() && !t.hearsMost() && t.suspected >= suspects
+	t.held = !t.manyBadAt.IsZero() && !t.hearsMost() && t.suspicion >= holdEvidence
 	switch {
-	case t.failing >= t.condemning(now):
+	case t.failing >= t.requiredEvidence(now):
 		t.stop(now, MoreFailures)
-	case t.slowing >= t.condemning(now):
+	case t.slowing >= t.requiredEvidence(now):
 		t.stop(now, SlowerAnswers)
-	case float64(t.total.bad) >= usableFraction*badAnswers && t.worst() >= condemnsLate && now.Sub(t.manyBadAt) >= t.options.RollbackDelay/gracePart:
+	case float64(t.total.bad) >= usableFraction*badAnswers && t.worst() >= lateRollbackEvidence && now.Sub(t.manyBadAt) >= t.options.RollbackDelay/gracePart:
 		t.stop(now, TooManyBad)
 	}
 }
@@ -41,23 +41,23 @@
 // lastWrite returns when a verdict has to be written to be in the store by the deadline.
 func (t *trial) lastWrite() time.Time { return t.deadline().Add(-writeTime) }
 
-// condemning returns the evidence that stops the trial. A bad version has to be rolled back by the deadline, so doubts suffice then
+// requiredEvidence returns the evidence that stops the trial. A bad version has to be rolled back by the deadline, so pauseEvidence suffice then
 // for one that has not all requests yet.
-func (t *trial) condemning(now time.Time) float64 {
+func (t *trial) requiredEvidence(now time.Time) float64 {
 	switch {
 	case now.Before(t.lastWrite()):
-		return condemns
+		return rollbackEvidence
 	case t.stage < stageAll:
-		return doubts
+		return pauseEvidence
 	}
-	return condemnsLate
+	return lateRollbackEvidence
 }
 
 // doubted reports whether the evidence is too strong for a step towards the version. After the deadline it either stops the trial
 // or does not count, so that an order ends also without further requests.
 func (t *trial) doubted(now time.Time) bool {
-	leans := t.leans && t.stage >= stageShift && t.stage < stageAll
-	return now.Before(t.deadline()) && (leans || max(t.worst(), t.slowNow) >= doubts)
+	favoursFault := t.favoursFault && t.stage >= stageShift && t.stage < stageAll
+	return now.Before(t.deadline()) && (favoursFault || max(t.worst(), t.slowNow) >= pauseEvidence)
 }
 
 // advance takes the next stage if its time has come and the evidence holds.
@@ -84,7 +84,7 @@
 		return true
 	}
 	wait := t.lastShift().Sub(t.order.Began) * time.Duration(t.stage+1) / 4
-	return !t.leans && t.suspected < suspects && (t.heard > 0 || t.options.Routers == 1) && now.Sub(t.order.Began) >= wait && now.Sub(t.knownAt) >= wait/2
+	return !t.favoursFault && t.suspicion < holdEvidence && (t.heard > 0 || t.options.Routers == 1) && now.Sub(t.order.Began) >= wait && now.Sub(t.knownAt) >= wait/2
 }
 
 // lastShift returns when the shift has to begin for the order to be complete by its deadline.
@@ -100,7 +100,7 @@
 		return false
 	}
 	late := t.lateness(now)
-	return !t.leans && t.suspected < suspects && t.favour >= clears-(clears-clearsLate)*late && t.since(nil, nil).routesSound(late)
+	return !t.favoursFault && t.suspicion < holdEvidence && t.favour >= shiftEvidence-(shiftEvidence-lateShiftEvidence)*late && t.since(nil, nil).routesSound(late)
 }
 
 // lateness returns how near the last moment for the shift is: 0 until the last part of the time before it, and 1 from then on.
@@ -126,7 +126,7 @@
 		return t.state, Stored, !t.stored
 	case t.stopped != NoOrder:
 		return RolledBack, t.stopped, true
-	case (t.stage < stageShift || t.stage < stageAll && t.leans) && t.evidenceMissing(now):
+	case (t.stage < stageShift || t.stage < stageAll && t.favoursFault) && t.evidenceMissing(now):
 		return RolledBack, NoEvidence, true
 	case t.stage < stageShift:
 		return Serving, OnTrial, false
@@ -143,7 +143,7 @@
 func (t *trial) evidenceMissing(now time.Time) bool {
 	end := t.lastWrite()
 	if !t.hearsMost() || t.peerShifts(now) {
-		end = end.Add(orphanTime)
+		end = end.Add(silentGrace)
 	}
 	return !now.Before(end)
 }
@@ -171,7 +171,7 @@
 		}
 	}
 	for name := range t.members {
-		if !reported[name] && now.Before(t.deadline().Add(orphanTime)) {
+		if !reported[name] && now.Before(t.deadline().Add(silentGrace)) {
 			return false
 		}
 	}
@@ -182,7 +182,7 @@
 func (t *trial) gone(now time.Time, router string, p *peer) bool {
 	silent := now.Sub(p.heardAt)
 	if t.members[router] {
-		return silent >= orphanTime+t.service.longDuration() && now.After(t.deadline().Add(orphanTime))
+		return silent >= silentGrace+t.service.longDuration() && now.After(t.deadline().Add(silentGrace))
 	}
 	return silent >= silentTime+t.service.longDuration()
 }
