--- a/placement/server.go
+++ b/placement/server.go
@@ -71,17 +71,17 @@
 	remoteTotal   remoteLoad            // sum of remoteLoads
 	reservedFor   *waiter               // request that waits for capacity of this server, or nil; see reservedForOther
 
-	segments     *segmentCache
-	errorRate    float64     // moving average, 0 to 1
-	errorSamples int         // number of attempts in errorRate
-	coldRequests eventWindow // requests sent while the server was cold
-	limit        serverlimit.Limit
-	stated       serverload.Server // load and speed, by its own statements
+	segments       *segmentCache
+	errorRate      float64     // moving average, 0 to 1
+	errorSamples   int         // number of attempts in errorRate
+	coldRequests   eventWindow // requests sent while the server was cold
+	limit          serverlimit.Limit
+	stated         serverload.Server // load and speed, by its own statements
 	loggedSlowness float64           // lasting slowness that was told last
 
-	rejectedLoads      int // statements of load that were rejected since rejectedLoadLoggedAt
+	rejectedLoads        int // statements of load that were rejected since rejectedLoadLoggedAt
 	rejectedLoadLoggedAt time.Time
-	status             *serverstatus.Status // outlives the listing
+	status               *serverstatus.Status // outlives the listing
 
 	sentTokens     uint64 // prefill tokens sent by this router, a counter in its summaries
 	zoneSentTokens uint64 // the same for the other routers of its zone, from their summaries
