--- a/gateway/flood_test.go
+++ b/gateway/flood_test.go
@@ -46,8 +46,8 @@
 	return err == nil && string(head) == "HTTP/1.1 503"
 }
 
-// In a flood, connections that waited to be accepted were abandoned by their callers before they were rejected.
-func TestConnectionsThatWaitAreRejectedTogether(t *testing.T) {
+// A router that rejects connections without reading them must give each of them an answer, however it accepts them.
+func TestConnectionsOfAFloodAreRejected(t *testing.T) {
 	s := newUnreadServer(t)
 	if !eventually(5*time.Second, func() bool { return rejects(t, s) }) {
 		t.Fatal("got no rejection in 5 s, want one once the router reads as many connections as it may")
