deploy: the bounds of roll-outs come by the environment, and the template is as before

BULRUSHTALLY_BOUNDS holds bounds that the settings file lacks; the file goes first, and an unknown name is an error.

--- a/cmd/bulrushtally/gateway.go
+++ b/cmd/bulrushtally/gateway.go
@@ -51,7 +51,7 @@
 			continue
 		}
 		lastRead = data
-		s, err := settings.ParseGateway(data)
+		s, err := settings.ParseGatewayWithBounds(data, os.Getenv(settings.GatewayBoundsEnv))
 		if err != nil {
 			logger.Error().Err(err).Msg("settings-rejected")
 			continue
--- a/settings/gateway.go
+++ b/settings/gateway.go
@@ -4,6 +4,7 @@
 // backend servers and stores the configuration itself.
 
 import (
+	"cmp"
 	"fmt"
 	"os"
 	"strconv"
@@ -16,6 +17,10 @@
 // GatewaySettingsEnv is the environment variable with the path of a gateway's settings file.
 const GatewaySettingsEnv = "BULRUSHTALLY_BOOT"
 
+// GatewayBoundsEnv is the environment variable with bounds that the settings file lacks: key=value pairs of its section [bounds],
+// separated by spaces. An empty value counts as none.
+const GatewayBoundsEnv = "BULRUSHTALLY_BOUNDS"
+
 // Gateway are the settings of a router that sends requests to backend servers directly,
 // without a leader for each shard. GatewayKeys returns what each of them means.
 type Gateway struct {
@@ -191,18 +196,25 @@
 	return gatewayDurationSetter(field, time.Second)
 }
 
-// ReadGateway returns the settings of a gateway in a file. The error is SettingErrors if
-// the file can be read but is not valid.
+// ReadGateway returns the settings of a gateway in a file, with the bounds of GatewayBoundsEnv that the file lacks. The error is
+// SettingErrors if the file can be read but is not valid.
 func ReadGateway(path string) (*Gateway, error) {
 	data, err := os.ReadFile(path)
 	if err != nil {
 		return nil, fmt.Errorf("settings file cannot be read: %w; name an INI file with -settings or in %s", err, GatewaySettingsEnv)
 	}
-	return ParseGateway(data)
+	return ParseGatewayWithBounds(data, os.Getenv(GatewayBoundsEnv))
 }
 
 // ParseGateway returns the settings of a gateway in INI text; the error is SettingErrors.
-func ParseGateway(data []byte) (*Gateway, error) {
+func ParseGateway(data []byte) (*Gateway, error) { return ParseGatewayWithBounds(data, "") }
+
+// boundsSection is the section of the settings that ParseGatewayWithBounds completes.
+const boundsSection = "bounds"
+
+// ParseGatewayWithBounds returns the settings of a gateway in INI text, completed by bounds as those of GatewayBoundsEnv; the error
+// is SettingErrors.
+func ParseGatewayWithBounds(data []byte, bounds string) (*Gateway, error) {
 	file, err := ini.Load(data)
 	if err != nil {
 		return nil, SettingErrors{{Remedy: "write lines as key = value under [section]: " + err.Error()}}
@@ -210,9 +222,18 @@
 	g := &Gateway{}
 	var errs SettingErrors
 	known := map[string]bool{}
+	missing := map[string]string{} // bounds, by name
+	for _, pair := range strings.Fields(bounds) {
+		name, value, _ := strings.Cut(pair, "=")
+		missing[name] = value
+	}
 	for _, k := range gatewayKeySpecs {
 		known[k.section+"/"+k.name] = true
 		value := k.defaultValue
+		if k.section == boundsSection {
+			value = cmp.Or(missing[k.name], value)
+			delete(missing, k.name)
+		}
 		if given := file.Section(k.section).Key(k.name).String(); given != "" {
 			value = given
 		}
@@ -220,6 +241,9 @@
 			errs = append(errs, &SettingError{k.section, k.name, value, remedy})
 		}
 	}
+	for name, value := range missing {
+		errs = append(errs, &SettingError{boundsSection, name, value, "remove it from " + GatewayBoundsEnv + ", or correct its name"})
+	}
 	known["peers/addresses"] = true
 	for _, address := range file.Section("peers").Key("addresses").Strings(",") {
 		if remedy := checkAddress(address); remedy != "" {
--- a/settings/gateway_test.go
+++ b/settings/gateway_test.go
@@ -107,12 +107,21 @@
 	}
 }
 
-// The platform fills the template; what a deployment lacks is empty there. A router whose settings file had it did not start.
-func TestTemplateIsValidWithoutTheBoundsOfRollOuts(t *testing.T) {
+// The platform fills the template and the environment; what a deployment lacks is empty there. A router that got the
+// bounds of roll-outs without values did not start, and review/ fills the template in without their names.
+func TestDeployFilesAreValidWithAndWithoutTheBoundsOfRollOuts(t *testing.T) {
 	template, err := os.ReadFile("../deploy/gateway.ini.tmpl")
 	if err != nil {
 		t.Fatal(err)
 	}
+	deploy, err := os.ReadFile("../deploy/system.toml")
+	if err != nil {
+		t.Fatal(err)
+	}
+	env := regexp.MustCompile(settings.GatewayBoundsEnv + ` = "([^"]*)"`).FindSubmatch(deploy)
+	if env == nil {
+		t.Fatalf("got a deploy file without %s, want it", settings.GatewayBoundsEnv)
+	}
 	values := map[string]string{
 		"node": "front-a-1", "zone": "zone-a", "ip": "10.0.0.1", "bootstrap": "true", "limits.memory_mb": "256", "limits.max_fds": "4096",
 		"listen.front": "10.0.0.1:80", "listen.ready": "10.0.0.1:81", "port_range.0": "7400", "provider.addr": "10.0.0.9:90",
@@ -125,13 +134,28 @@
 		return "5"
 	}
 	placeholder := regexp.MustCompile(`\{\{[^}]*\}\}`)
-	g, err := settings.ParseGateway([]byte(placeholder.ReplaceAllStringFunc(string(template), fill)))
-	if err != nil || g.RollsOut() {
+	parse := func() (*settings.Gateway, error) {
+		return settings.ParseGatewayWithBounds([]byte(placeholder.ReplaceAllStringFunc(string(template), fill)), placeholder.ReplaceAllStringFunc(string(env[1]), fill))
+	}
+	if g, err := parse(); err != nil || g.RollsOut() {
 		t.Errorf("got error %v and roll-outs, want neither", err)
 	}
 	values["bounds.expose_share"], values["bounds.expose_slack"], values["bounds.rollback_ms"] = "0.1", "50", "5000"
-	g, err = settings.ParseGateway([]byte(placeholder.ReplaceAllStringFunc(string(template), fill)))
-	if err != nil || !g.RollsOut() {
-		t.Errorf("got error %v and no roll-outs, want them", err)
+	if g, err := parse(); err != nil || !g.RollsOut() || g.ExposeShare != 0.1 || g.ExposeSlack != 50 || g.RollbackDelay != 5*time.Second {
+		t.Errorf("got %+v and error %v, want roll-outs with 0.1, 50 and 5 s", g, err)
+	}
+	if strings.Contains(string(template), "bounds.expose") {
+		t.Error("got bounds of roll-outs in the template, want none")
+	}
+}
+
+// A misspelled bound in the environment would leave roll-outs off without a word; the file goes before the environment.
+func TestBoundsOfTheEnvironment(t *testing.T) {
+	if _, err := settings.ParseGatewayWithBounds([]byte(validGateway), "expose-shar=0.1"); err == nil {
+		t.Error("got an unknown bound accepted, want an error")
+	}
+	g, err := settings.ParseGatewayWithBounds([]byte(validGateway+"expose-share = 0.2\n"), "expose-share=0.1 expose-slack=50 rollback-ms=5000")
+	if err != nil || g.ExposeShare != 0.2 || g.ExposeSlack != 50 {
+		t.Errorf("got %+v and error %v, want the share of the file and the slack of the environment", g, err)
 	}
 }
