placement: roles are assigned anew when a server is listed

Cause: since spillover looks at the loads of zones in each period, roles are assigned before the first request, and for up to 50 ms a request found those of fewer servers. TestServersThatAreListedTakeTheirRolesAtOnce failed before.

--- a/placement/placement.go
+++ b/placement/placement.go
@@ -177,6 +177,7 @@
 	s.pool = to
 	s.segments = newSegmentCache(to.segmentCacheTokens())
 	to.servers = append(to.servers, s)
+	to.rolesAssignedAt = time.Time{} // they may have been assigned a moment ago, for fewer servers
 	p.versionsChanged++
 }
 
--- a/placement/spilloverload_test.go
+++ b/placement/spilloverload_test.go
@@ -90,3 +90,24 @@
 		}
 	}
 }
+
+// Fails if a request right after the servers were listed finds the roles of a moment before, when there were too few of them to
+// prefill for each other.
+func TestServersThatAreListedTakeTheirRolesAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := newPlacement(modelServices(true), 1, 2)
+		p.Tick(time.Now()) // assigns roles, too
+		for _, id := range []string{"i-2", "i-3"} {
+			p.SetServer(time.Now(), placement.ServerEntry{ID: id, Service: "models", Address: "127.0.0.1:1", Zone: "zone-a", Slots: 64, Version: "v1"})
+		}
+		g, refusal := admitWithoutWaiting(p, newRequest("a", 20000))
+		if g == nil {
+			t.Fatalf("got %v, want a server", refusal)
+		}
+		g.RecordFirstEvent(time.Now())
+		if g.Migrate(time.Now()) == nil {
+			t.Error("got no migration of a long prompt with four servers, want one")
+		}
+		g.End(time.Now(), placement.Done)
+	})
+}
