--- a/review/lab2/cases.go
+++ b/review/lab2/cases.go
@@ -142,7 +142,7 @@
 		spoils, ends, lost, mostLost, countStatuses(everyone.outcomes))}, nil
 }
 
-// crlfEvents plays a release: the workers of a service are replaced one after the other, and those of the new version end the lines of
+// crlfEvents plays a release: half of the workers of a service are replaced one after the other, and those of the new version end the lines of
 // their events with CR LF.
 func crlfEvents(r *record, trouble bool) (verdict, error) {
 	const (
@@ -151,6 +151,8 @@
 		drain       = 3 * time.Second
 		events      = 8
 		clients     = 12
+		workers     = 4
+		replaced    = 2 // share 0.5
 		work        = 20 * time.Millisecond
 		old, newer  = "v1", "v2"
 	)
@@ -160,7 +162,7 @@
 	}
 	defer d.stop()
 	var before []*worker
-	for i := range 3 {
+	for i := range workers {
 		w, err := d.startWorker(fmt.Sprint("i-old-", i), "quote-lines", old, work, streamEvents(events, "\n"))
 		if err != nil {
 			return verdict{}, err
@@ -170,7 +172,7 @@
 	if err := d.startRouters(3); err != nil {
 		return verdict{}, err
 	}
-	end := time.Now().Add(calm + 3*gap + drain + after)
+	end := time.Now().Add(calm + replaced*gap + drain + after)
 	everyone := &crowd{}
 	for i := range clients {
 		c := &client{d: d, name: fmt.Sprint("client-", i), prefer: i, timeout: 8 * time.Second}
@@ -183,7 +185,7 @@
 	if trouble {
 		lineEnd = "\r\n"
 	}
-	for i, w := range before {
+	for i, w := range before[:replaced] {
 		if _, err := d.startWorker(fmt.Sprint("i-new-", i), "quote-lines", newer, work, streamEvents(events, lineEnd)); err != nil {
 			return verdict{}, err
 		}
