upstream: an answer whose status is not a valid one is broken

What callers saw: an answer with status 000 reached them as an answer, also for a call that may be repeated. With Not-Executed beside it they were told that the call had not run. 600 was forwarded like a status of the server. Cause: http.ReadResponse takes any three digits, and a sign, for a status, and the router's classes of statuses have none for those below 100, so that such an answer counted as final and as one that needs no seal. Change: responsehead.Scanner checks the head as it is read, and an exchange ends as broken at a status that is not from 100 to 599 (RFC 9110, section 15). All answers of backend servers pass there, so what may be repeated runs elsewhere and the rest gets 502; nothing reads Not-Executed from such a head.

--- /dev/null
+++ b/responsehead/scanner.go
@@ -0,0 +1,123 @@
+package responsehead
+
+// This file defines Scanner, which checks one head, and the error for a head that is not valid.
+
+import "fmt"
+
+// Error reports a head that is not valid.
+type Error struct{ Reason string }
+
+// Error returns the reason and what to do about it.
+func (e *Error) Error() string {
+	return "response head is not valid HTTP/1: " + e.Reason + "; check the server's software"
+}
+
+// Status codes of valid responses, by RFC 9110, section 15.
+const (
+	statusDigits = 3
+	minStatus    = 100
+	maxStatus    = 599
+)
+
+// place is where in a head the next byte belongs.
+type place int
+
+const (
+	inProtocol place = iota // of the status line
+	inStatus                // the status code, or a blank before it
+	inReason                // the rest of the status line
+	inField                 // a line after the status line
+	afterHead
+)
+
+// Scanner checks the head of one response as its bytes come. The zero value is at the start of a head. It leaves to the parser
+// what parsers agree on.
+type Scanner struct {
+	at     place
+	length int  // bytes of the current line so far, without a line feed
+	bare   bool // the current line is a carriage return so far
+	digits int  // of the status code so far
+	status int
+}
+
+// Scan checks the next bytes of the head, and returns how many of them belong to it. It returns an *Error at the first byte that
+// shows that the head is not valid.
+func (s *Scanner) Scan(b []byte) (n int, err error) {
+	for n < len(b) && s.at != afterHead {
+		if err := s.scanByte(b[n]); err != nil {
+			return n, err
+		}
+		n++
+	}
+	return n, nil
+}
+
+// Ended reports whether the head has ended.
+func (s *Scanner) Ended() bool { return s.at == afterHead }
+
+// Status returns the status code of a head that has ended.
+func (s *Scanner) Status() int { return s.status }
+
+func (s *Scanner) scanByte(c byte) error {
+	if c == '\n' {
+		return s.endLine()
+	}
+	switch s.at {
+	case inProtocol:
+		if c == ' ' {
+			s.at = inStatus
+		}
+	case inStatus:
+		if err := s.scanStatus(c); err != nil {
+			return err
+		}
+	}
+	s.bare = c == '\r' && s.length == 0
+	s.length++
+	return nil
+}
+
+// scanStatus checks a byte of the status code, or the byte after it.
+func (s *Scanner) scanStatus(c byte) error {
+	switch {
+	case c >= '0' && c <= '9' && s.digits < statusDigits:
+		s.status = s.status*10 + int(c-'0')
+		s.digits++
+		return nil
+	case c == ' ' && s.digits == 0: // parsers skip further blanks
+		return nil
+	case c == ' ' || c == '\r':
+		s.at = inReason
+		return s.checkStatus()
+	}
+	return &Error{fmt.Sprintf("the status code has %q", c)}
+}
+
+// checkStatus checks the whole status code.
+func (s *Scanner) checkStatus() error {
+	if s.digits != statusDigits || s.status < minStatus || s.status > maxStatus {
+		return &Error{fmt.Sprintf("status %0*d is not one from %d to %d", s.digits, s.status, minStatus, maxStatus)}
+	}
+	return nil
+}
+
+// endLine checks the line that has ended.
+func (s *Scanner) endLine() error {
+	empty := s.length == 0 || s.bare
+	place := s.at
+	s.length, s.bare = 0, false
+	switch {
+	case place == inProtocol && empty: // parsers may skip empty lines before a response
+		return nil
+	case place == inProtocol:
+		return &Error{"the status line has no status code"}
+	case place == inField && empty:
+		s.at = afterHead
+		return nil
+	}
+	s.at = inField
+	if place == inStatus {
+		return s.checkStatus()
+	}
+	return nil
+}
--- a/upstream/exchange.go
+++ b/upstream/exchange.go
@@ -11,6 +11,8 @@
 	"strings"
 	"sync/atomic"
 	"time"
+
+	"bulrushtally/responsehead"
 )
 
 // Request is a request to a backend server.
@@ -59,6 +61,7 @@
 	reused         bool        // the connection carried an earlier request
 	closed         atomic.Bool
 	head           headMeter
+	scanner        responsehead.Scanner
 	bodyHeld       int64 // bytes that the reader of the body holds of it
 
 	held        int64 // bytes that the exchange holds; guarded by memory.mu, as are the next two
@@ -112,8 +115,8 @@
 }
 
 // readHead reads the head of the response. It skips interim responses and late
-// responses to earlier requests, and fails if there are more than maxSkippedResponses, or if a
-// head is longer than maxResponseHeadBytes or does not fit beside what other exchanges hold. A response without an ID may be
+// responses to earlier requests, and fails if there are more than maxSkippedResponses, or if a head is not valid, is
+// longer than maxResponseHeadBytes or does not fit beside what other exchanges hold. A response without an ID may be
 // to any request that the connection carried, so only that on a new connection is the response to this one.
 func (x *Exchange) readHead(r *Request) error {
 	for range maxSkippedResponses + 1 {
@@ -145,9 +148,9 @@
 
 // readOneHead reads the head of the next response on the connection.
 func (x *Exchange) readOneHead(method string) (*http.Response, error) {
-	x.head = headMeter{}
+	x.head, x.scanner = headMeter{}, responsehead.Scanner{}
 	buffered, _ := x.conn.reader.Peek(x.conn.reader.Buffered())
-	if err := x.countHead(buffered); err != nil {
+	if err := x.checkHead(buffered); err != nil {
 		return nil, err
 	}
 	x.conn.headOf = x
@@ -155,8 +158,12 @@
 	return http.ReadResponse(x.conn.reader, &http.Request{Method: method})
 }
 
-// countHead counts bytes of a head that were read. It returns an error if the head is too long, or takes too much memory.
-func (x *Exchange) countHead(b []byte) error {
+// checkHead checks and counts bytes of a head that were read. It returns an error if the head is not valid, is too long, or takes
+// too much memory.
+func (x *Exchange) checkHead(b []byte) error {
+	if _, err := x.scanner.Scan(b); err != nil {
+		return err
+	}
 	x.head.write(b)
 	if x.head.bytes > maxResponseHeadBytes {
 		return errHeadTooLong
--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -89,13 +89,13 @@
 	closeOnce   sync.Once
 }
 
-// Read reads from the connection for the buffer. While a head is read, it returns an error if that takes too much memory.
+// Read reads from the connection for the buffer. While a head is read, it returns the error of Exchange.checkHead.
 func (c *conn) Read(b []byte) (int, error) {
 	n, err := c.Conn.Read(b)
 	if c.headOf == nil {
 		return n, err
 	}
-	if headErr := c.headOf.countHead(b[:n]); headErr != nil {
+	if headErr := c.headOf.checkHead(b[:n]); headErr != nil {
 		return 0, headErr
 	}
 	return n, err
