upstream: an answer with an invalid name of a field in its head is broken

What callers saw: an answer whose head had a blank in the name of a field reached them, with that line passed on. With the blank in the name of the length or the coding they got a body that was not the server's: two events where the length named one, or the marks of the chunks as text. Cause: net/textproto keeps a name with a blank as it is, so that the field is unknown and the body seems to last until the connection ends; and it joins a line that begins with a blank to the value before it. Change: Scanner refuses a name with a byte that a token has not (RFC 9110, section 5.6.2), a line that begins with a blank, and a line without a colon. It sees the head before the parser does, so where the parser would find the end of the body does not matter. Tests: gateway brokenanswer_test.go, responsehead scanner_test.go.

--- a/gateway/brokenanswer_test.go
+++ b/gateway/brokenanswer_test.go
@@ -29,6 +29,17 @@
 	{"status 099", "099 Broken", evilBody},
 	{"status with a sign", "+20 Broken", evilBody},
 	{"status 600", "600 Broken", evilBody},
+	{"blank in a name", "200 OK", "Bad Name: x\r\n" + evilBody},
+	{"blank before a name", "200 OK", " Name: x\r\n" + evilBody},
+	{"blank behind a name", "200 OK", "Name : x\r\n" + evilBody},
+	{"tab in a name", "200 OK", "Bad\tName: x\r\n" + evilBody},
+	{"control byte in a name", "200 OK", "Bad\x01Name: x\r\n" + evilBody},
+	{"carriage return in a name", "200 OK", "Bad\rName: x\r\n" + evilBody},
+	{"no name", "200 OK", ": x\r\n" + evilBody},
+	{"blank in the name of a length", "200 OK", "Content Length: 18\r\n\r\n" + evilEvent + evilEvent},
+	{"blank behind the name of a length", "200 OK", "Content-Length : 18\r\n\r\n" + evilEvent + evilEvent},
+	{"blank behind the name of a coding", "200 OK", "Transfer-Encoding : chunked\r\n\r\n12\r\n" + evilEvent + "\r\n0\r\n\r\n"},
+	{"blank in a name, said not to have run", "503 Service Unavailable", "Not-Executed: 1\r\nBad Name: x\r\n" + evilBody},
 }
 
 // answer returns the function for Server.SendAnswers that sends the broken head to the requests that are named.
--- a/responsehead/scanner.go
+++ b/responsehead/scanner.go
@@ -2,7 +2,10 @@
 
 // This file defines Scanner, which checks one head, and the error for a head that is not valid.
 
-import "fmt"
+import (
+	"fmt"
+	"strings"
+)
 
 // Error reports a head that is not valid.
 type Error struct{ Reason string }
@@ -26,7 +29,8 @@
 	inProtocol place = iota // of the status line
 	inStatus                // the status code, or a blank before it
 	inReason                // the rest of the status line
-	inField                 // a line after the status line
+	inName                  // the name of a field, or the empty line at the end
+	inValue                 // the rest of a line with a field
 	afterHead
 )
 
@@ -71,6 +75,10 @@
 		if err := s.scanStatus(c); err != nil {
 			return err
 		}
+	case inName:
+		if err := s.scanName(c); err != nil {
+			return err
+		}
 	}
 	s.bare = c == '\r' && s.length == 0
 	s.length++
@@ -101,6 +109,31 @@
 	return nil
 }
 
+// scanName checks a byte of the name of a field, or the byte after it. A blank at the start would continue the value of the line
+// before, which a server must not send (RFC 9112, section 5.2).
+func (s *Scanner) scanName(c byte) error {
+	atStart := s.length == 0
+	switch {
+	case c == ':' && !atStart:
+		s.at = inValue
+		return nil
+	case c == '\r' && atStart: // of the empty line
+		return nil
+	case isTokenByte(c) && !s.bare:
+		return nil
+	}
+	return &Error{fmt.Sprintf("the name of a field has %q", c)}
+}
+
+// isTokenByte reports whether the name of a field may hold a byte, by RFC 9110, section 5.6.2.
+func isTokenByte(c byte) bool {
+	switch {
+	case c >= 'a' && c <= 'z', c >= 'A' && c <= 'Z', c >= '0' && c <= '9':
+		return true
+	}
+	return strings.IndexByte("!#$%&'*+-.^_`|~", c) >= 0
+}
+
 // endLine checks the line that has ended.
 func (s *Scanner) endLine() error {
 	empty := s.length == 0 || s.bare
@@ -111,11 +144,13 @@
 		return nil
 	case place == inProtocol:
 		return &Error{"the status line has no status code"}
-	case place == inField && empty:
+	case place == inName && empty:
 		s.at = afterHead
 		return nil
+	case place == inName:
+		return &Error{"a line has no colon"}
 	}
-	s.at = inField
+	s.at = inName
 	if place == inStatus {
 		return s.checkStatus()
 	}
--- a/responsehead/scanner_test.go
+++ b/responsehead/scanner_test.go
@@ -61,6 +61,18 @@
 		{"HTTP/1.1 2\x0000 Control\r\n\r\n", 10},
 		{"HTTP/1.1 \r\n\r\n", 9},
 		{"HTTP/1.1\r\n\r\n", 9},
+		{"HTTP/1.1 200 OK\r\nBad Name: x\r\n\r\n", 20},
+		{"HTTP/1.1 200 OK\r\nName : x\r\n\r\n", 21},
+		{"HTTP/1.1 200 OK\r\n Name: x\r\n\r\n", 17},
+		{"HTTP/1.1 200 OK\r\nA: b\r\n\tName: x\r\n\r\n", 23},
+		{"HTTP/1.1 200 OK\r\nBad\tName: x\r\n\r\n", 20},
+		{"HTTP/1.1 200 OK\r\nBad\x00Name: x\r\n\r\n", 20},
+		{"HTTP/1.1 200 OK\r\nBad\rName: x\r\n\r\n", 20},
+		{"HTTP/1.1 200 OK\r\n\rName: x\r\n\r\n", 18},
+		{"HTTP/1.1 200 OK\r\nBad\x7f: x\r\n\r\n", 20},
+		{"HTTP/1.1 200 OK\r\nB\xc3\xa4d: x\r\n\r\n", 18},
+		{"HTTP/1.1 200 OK\r\n: x\r\n\r\n", 17},
+		{"HTTP/1.1 200 OK\r\nName\n\n", 21},
 	}
 	for _, test := range tests {
 		for _, size := range []int{1, 3, 1000} {
