upstream: an answer without length that a reset ends in an upload is broken

What callers saw: a server answered a long upload at once with a 200 without a length, sent a part of its body and reset the connection while the upload was still being written. The caller got that part as a complete answer; a stream looked complete after its first event. Cause: the kernel reports the error of a connection once. The write of the request's body, in a goroutine of its own, got the reset, and the read of the answer then saw a plain end, which is how an answer without a length ends. Change: at such an end, Exchange stops the write and looks at its error. Any error of the connection but EPIPE means that the connection broke. EPIPE comes after the server has ended its answer itself, and a write that still goes on has got no error; so an early answer that ends with its connection still arrives whole, and at once, though the server reads no more of the request.

--- a/gateway/brokenanswer_test.go
+++ b/gateway/brokenanswer_test.go
@@ -59,11 +59,11 @@
 	}
 }
 
-// sendUntilReceived sends requests with a path until a server has received one, and returns the last response.
-func (s *testbed) sendUntilReceived(b *platformtest.Server, path string) response {
+// sendUntilReceived sends requests with a path and a body until a server has received one, and returns the last response.
+func (s *testbed) sendUntilReceived(b *platformtest.Server, path, body string) response {
 	s.t.Helper()
 	for range 50 {
-		if a := s.send("POST", path, "body"); len(b.Received()) > 0 {
+		if a := s.send("POST", path, body); len(b.Received()) > 0 {
 			return a
 		}
 	}
@@ -79,7 +79,7 @@
 		s.startServer("i-2", "desk", 0)
 		s.waitReady()
 		one.SendAnswers(h.answer(one, anyRequest))
-		if a := s.sendUntilReceived(one, "/desk/x"); a.status != 200 || a.body != "done" {
+		if a := s.sendUntilReceived(one, "/desk/x", "body"); a.status != 200 || a.body != "done" {
 			t.Errorf("got status %d, error %v and body %q, want the answer of the other server; log:\n%s", a.status, a.err, a.body, s.logs)
 		}
 	})
@@ -110,7 +110,7 @@
 		s.waitReady()
 		one.SendAnswers(h.answer(one, anyRequest))
 		two.SetDefaultBehaviour(platformtest.FailWith500)
-		a := s.sendUntilReceived(one, "/desk/x")
+		a := s.sendUntilReceived(one, "/desk/x", "body")
 		if a.status != 500 && a.status != 502 || strings.Contains(a.body, "evil") {
 			t.Errorf("got status %d, error %v and body %q, want the failure of the sound server, or 502; log:\n%s", a.status, a.err, a.body, s.logs)
 		}
@@ -124,7 +124,7 @@
 		s.startServer("i-2", "models", 12)
 		s.waitReady()
 		one.SendAnswers(h.answer(one, anyRequest))
-		a := s.sendUntilReceived(one, "/models/x")
+		a := s.sendUntilReceived(one, "/models/x", "body")
 		if a.err != nil || a.status != 200 || strings.Contains(a.body, "evil") || strings.Count(a.body, "id: ") != 12 {
 			t.Errorf("got status %d, error %v and body %q, want the 12 events of the other server; log:\n%s", a.status, a.err, a.body, s.logs)
 		}
--- a/upstream/exchange.go
+++ b/upstream/exchange.go
@@ -10,6 +10,7 @@
 	"strconv"
 	"strings"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"bulrushtally/responsehead"
@@ -54,11 +55,12 @@
 	pool           *Pool
 	conn           *conn
 	response       *http.Response
-	unwatch        func() bool // stops watching the context; returns false if the context has ended
-	bodyWritten    chan error  // receives the result of writing a long body; nil for a short one
-	requestWritten bool        // head and short body were written; stays false for a long body
-	complete       bool        // the response body was read to its end
-	reused         bool        // the connection carried an earlier request
+	unwatch        func() bool   // stops watching the context; returns false if the context has ended
+	bodyWritten    chan struct{} // closed once a long body was written, or could not be; nil for a short one
+	writeErr       error         // of writing a long body; valid once bodyWritten is closed
+	requestWritten bool          // head and short body were written; stays false for a long body
+	complete       bool          // the response body was read to its end
+	reused         bool          // the connection carried an earlier request
 	closed         atomic.Bool
 	head           headMeter
 	scanner        responsehead.Scanner
@@ -106,10 +108,10 @@
 	if _, err := x.conn.Write(r.Head); err != nil {
 		return err
 	}
-	x.bodyWritten = make(chan error, 1)
+	x.bodyWritten = make(chan struct{})
 	go func() {
-		_, err := x.conn.Write(r.Body)
-		x.bodyWritten <- err
+		_, x.writeErr = x.conn.Write(r.Body)
+		close(x.bodyWritten)
 	}()
 	return nil
 }
@@ -221,6 +223,9 @@
 func (x *Exchange) Read(b []byte) (int, error) {
 	n, err := x.response.Body.Read(b)
 	if errors.Is(err, io.EOF) {
+		if err := x.connectionError(); err != nil {
+			return n, &ResponseError{x.conn.address, err}
+		}
 		x.complete = true
 		x.response.Trailer = nil // it is not forwarded
 		x.pool.memory.setReceived(x)
@@ -232,6 +237,28 @@
 	return n, nil
 }
 
+// longAgo is a deadline that has passed.
+var longAgo = time.Unix(1, 0)
+
+// connectionError returns the error of the connection if that, and not the server, ended a response which ends with its
+// connection, and else nil.
+//
+// The kernel reports the error of a connection, such as a reset, once. If the write of a long request body gets it, the read of
+// the response sees the same end as that of a complete one. After such an end by the server itself, a write gets EPIPE at most. A
+// write that still goes on at the end has got no error, so the rest of the request is not waited for.
+func (x *Exchange) connectionError() error {
+	if x.bodyWritten == nil || !x.EndsWithConnection() || x.response.Body == http.NoBody {
+		return nil
+	}
+	x.conn.SetWriteDeadline(longAgo)
+	<-x.bodyWritten
+	var errno syscall.Errno
+	if errors.As(x.writeErr, &errno) && errno != syscall.EPIPE {
+		return x.writeErr
+	}
+	return nil
+}
+
 // ReadAll returns the complete response body. It returns a *ResponseError if the body
 // cannot be read to its end, is too long, or does not fit beside what other exchanges hold.
 func (x *Exchange) ReadAll() ([]byte, error) {
@@ -308,8 +335,8 @@
 		return true
 	}
 	select {
-	case err := <-x.bodyWritten:
-		return err == nil
+	case <-x.bodyWritten:
+		return x.writeErr == nil
 	default:
 		return false // the server responded early and may still be reading the request body
 	}
