upstream: the error of a head is not lost between two reads

What callers saw: the answer of a server whose broken head came in parts, the status line first, with a line that the check of heads had refused left out. Cause: net/textproto looks ahead for the first field and drops the error that it gets there; the next read then went on behind the bytes that were refused, and what followed was a valid head. The limits of a head had the same gap. Evidence: a test whose server sends the status line, the line " Bad: x" and the rest 50 ms apart got "evil" as the body of a complete answer. Change: once the check of a head has failed, each read of the connection returns that error, and nothing more is read. Test: TestBrokenHeadThatComesInPartsIsBroken.

--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -86,17 +86,22 @@
 	idleTimeout time.Duration // of the pool, or shorter if the server announced that
 	exchanges   int           // number of completed exchanges
 	headOf      *Exchange     // whose head is being read; nil at other times
+	headErr     error         // of a head that was read
 	closeOnce   sync.Once
 }
 
-// Read reads from the connection for the buffer. While a head is read, it returns the error of Exchange.checkHead.
+// Read reads from the connection for the buffer. Once Exchange.checkHead has returned an error, it returns that and reads no
+// more: a parser that looks ahead may drop the error, and must not go on behind the bytes that were refused.
 func (c *conn) Read(b []byte) (int, error) {
+	if c.headErr != nil {
+		return 0, c.headErr
+	}
 	n, err := c.Conn.Read(b)
 	if c.headOf == nil {
 		return n, err
 	}
-	if headErr := c.headOf.checkHead(b[:n]); headErr != nil {
-		return 0, headErr
+	if c.headErr = c.headOf.checkHead(b[:n]); c.headErr != nil {
+		return 0, c.headErr
 	}
 	return n, err
 }
--- a/upstream/upstream_test.go
+++ b/upstream/upstream_test.go
@@ -211,3 +211,21 @@
 		t.Errorf("got %d connections and %d reuses for two requests with one ID, want 2 and none", dials, reuses)
 	}
 }
+
+// The parser looks for what comes next without asking for an error. The next read then went on behind the bytes that were refused.
+func TestBrokenHeadThatComesInPartsIsBroken(t *testing.T) {
+	parts := []string{"HTTP/1.1 200 OK\r\n", " Bad: x\r\n", "Id: r\r\nContent-Length: 4\r\n\r\nevil"}
+	address := startAnsweringServer(t, func(c net.Conn, _ *http.Request) {
+		for _, part := range parts {
+			fmt.Fprint(c, part)
+			time.Sleep(50 * time.Millisecond)
+		}
+	})
+	p := upstream.NewPool(upstream.DefaultOptions, "")
+	defer p.Close()
+	got, err := send(p, address, "r")
+	var broken *upstream.ResponseError
+	if !errors.As(err, &broken) {
+		t.Errorf("got body %q and error %v, want a ResponseError", got, err)
+	}
+}
