backend, ledger, platform, operator: broken responses are errors

What was seen: a write to the store whose answer had status 000 counted as done (a swap as swapped, a change as accepted), and rows of such an answer came into force; a call, a load report and an order to cancel counted as answered. A blank in the name of a field did the same. Cause: fasthttp, with which these four read, gives 200 for a status of 0, takes any three digits, trims a blank behind a name and keeps one within it. Nothing of that can be told from a parsed response. The part of an answer to an upload that is reset was an error at all four, since fasthttp writes the whole request before it reads; the tests stay. Change: they read through responsehead.Conn, whose Read fails at the byte which shows that a head is not valid, so that the parser never has all of it. The error stays; a test shows that a parser which looks ahead may drop it once. Operators' calls over TLS are checked above TLS.

--- a/backend/client.go
+++ b/backend/client.go
@@ -18,6 +18,7 @@
 	"github.com/valyala/fasthttp"
 
 	"bulrushtally/request"
+	"bulrushtally/responsehead"
 )
 
 // AttemptIDHeader is the header that carries an attempt's ID. Backend servers return it
@@ -143,7 +144,7 @@
 	if err != nil {
 		return nil, &AttemptError{FaultNotSent, a.Address, err}
 	}
-	nc := &conn{Conn: tcp, timeout: c.timeouts.Header}
+	nc := &conn{Conn: responsehead.NewConn(tcp), timeout: c.timeouts.Header}
 	unregister := context.AfterFunc(ctx, nc.closeOnce)
 	r, err := c.roundTrip(nc, a)
 	if err != nil {
--- /dev/null
+++ b/ledger/broken_test.go
@@ -0,0 +1,35 @@
+package ledger_test
+
+import (
+	"net/http"
+	"testing"
+	"time"
+
+	"bulrushtally/ledger"
+	"bulrushtally/responsehead/headtest"
+)
+
+// newClientAt returns a client of a platform at an address.
+func newClientAt(address string) *ledger.Client {
+	return ledger.NewClient(ledger.Options{Address: address, Timeout: 2 * time.Second, ReadsPerSecond: 1e4, WritesPerSecond: 1e4})
+}
+
+// fasthttp takes a status of 000 for 200, and reads past a blank in a name: a write seemed to have taken effect.
+func TestBrokenResponsesOfThePlatformSayNothing(t *testing.T) {
+	headtest.Each(t, func(t *testing.T, f headtest.Fault) {
+		c := newClientAt(headtest.Serve(t, func(*http.Request) string { return f.Response("", `{"key": "k", "version": 7}`) }))
+		if err := c.Commit(ledger.Txn{}); !ledger.IsKind(err, ledger.Ambiguous) {
+			t.Errorf("write: got %v, want an error of kind %q", err, ledger.Ambiguous)
+		}
+		if row, err := c.Get("k"); !ledger.IsKind(err, ledger.Unavailable) {
+			t.Errorf("read: got row %+v and error %v, want an error of kind %q", row, err, ledger.Unavailable)
+		}
+	})
+}
+
+func TestPartOfAResponseToAnUploadToThePlatformSaysNothing(t *testing.T) {
+	c := newClientAt(headtest.ServeReset(t, "", "part"))
+	if err := c.PutObject("weights", []byte(headtest.Upload)); !ledger.IsKind(err, ledger.Ambiguous) {
+		t.Errorf("got %v, want an error of kind %q", err, ledger.Ambiguous)
+	}
+}
--- a/ledger/client.go
+++ b/ledger/client.go
@@ -14,6 +14,8 @@
 	"github.com/sony/gobreaker/v2"
 	"github.com/valyala/fasthttp"
 	"golang.org/x/time/rate"
+
+	"bulrushtally/responsehead"
 )
 
 // ErrorKind is the kind of a failed call to the platform. It states whether the call may
@@ -102,7 +104,7 @@
 			RetryIfErr:                func(*fasthttp.Request, int, error) (bool, bool) { return false, false },
 			MaxIdleConnDuration:       5 * time.Second,
 			MaxResponseBodySize:       maxResponseBytes,
-			Dial:                      func(a string) (net.Conn, error) { return fasthttp.DialTimeout(a, o.Timeout) },
+			Dial:                      func(a string) (net.Conn, error) { return dial(a, o.Timeout) },
 		},
 		reads:  newLimiter(o.ReadsPerSecond),
 		writes: newLimiter(o.WritesPerSecond),
@@ -117,6 +119,15 @@
 	}
 }
 
+// dial connects to the platform. Broken responses are errors on the connection.
+func dial(address string, timeout time.Duration) (net.Conn, error) {
+	c, err := fasthttp.DialTimeout(address, timeout)
+	if err != nil {
+		return nil, err
+	}
+	return responsehead.NewConn(c), nil
+}
+
 // newLimiter returns a rate limiter whose burst is half a second's calls, but at least
 // minBurstRequests.
 func newLimiter(perSecond float64) *rate.Limiter {
--- /dev/null
+++ b/responsehead/conn.go
@@ -0,0 +1,70 @@
+package responsehead
+
+// This file defines Conn, for clients that parse responses by a library.
+
+import (
+	"net"
+	"net/http"
+	"sync/atomic"
+)
+
+// Conn is a client's connection that checks the heads of responses. Its Read returns an *Error in place of the byte that shows
+// that a head is not valid, so that the parser never has the whole of it. The client sends one request at a time, and writes it
+// whole before it reads the response.
+type Conn struct {
+	net.Conn
+	written  atomic.Bool // a request was written since the last read
+	scanner  Scanner     // of the head that comes, or came last
+	err      error       // of a head
+	upgraded bool        // the connection does not carry HTTP any more
+}
+
+// NewConn returns a Conn for a connection that has carried nothing. Over TLS, that is the connection which encrypts.
+func NewConn(c net.Conn) *Conn { return &Conn{Conn: c} }
+
+// Write writes a part of a request.
+func (c *Conn) Write(b []byte) (int, error) {
+	c.written.Store(true)
+	return c.Conn.Write(b)
+}
+
+// Read reads a part of a response. It returns an *Error if its head is not valid, and from then on reads no more: a parser that
+// looks ahead may drop the error, and must not go on behind the bytes that were refused.
+func (c *Conn) Read(b []byte) (int, error) {
+	if c.err != nil {
+		return 0, c.err
+	}
+	n, err := c.Conn.Read(b)
+	if c.written.Swap(false) { // asked after the read, since that may have begun before the request was written
+		c.scanner = Scanner{}
+	}
+	valid := 0
+	if valid, c.err = c.scan(b[:n]); c.err != nil {
+		return valid, c.err
+	}
+	return n, err
+}
+
+// scan checks what b has of heads, and returns how many of its bytes come before an error.
+func (c *Conn) scan(b []byte) (valid int, err error) {
+	for valid < len(b) && !c.scanner.Ended() && !c.upgraded {
+		n, err := c.scanner.Scan(b[valid:])
+		valid += n
+		if err != nil {
+			return valid, err
+		}
+		c.afterHead()
+	}
+	return valid, nil
+}
+
+// afterHead prepares for what comes after a head that has ended: after an interim response, another one.
+func (c *Conn) afterHead() {
+	switch {
+	case !c.scanner.Ended():
+	case c.scanner.Status() == http.StatusSwitchingProtocols:
+		c.upgraded = true
+	case c.scanner.Status() < http.StatusOK:
+		c.scanner = Scanner{}
+	}
+}
--- /dev/null
+++ b/responsehead/headtest/headtest.go
@@ -0,0 +1,113 @@
+// Package headtest gives tests responses that are not valid HTTP/1, and servers that send them.
+package headtest
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+)
+
+// Fault is a way in which the head of a response is not valid.
+type Fault struct {
+	Name   string
+	status string // code and reason
+	format string // of the end of the head and the body, given the length of the body and the body
+}
+
+// sized is the format of an end that is valid.
+const sized = "Content-Length: %[1]d\r\n\r\n%[2]s"
+
+// Faults are the faults that a client must find.
+var Faults = []Fault{
+	{"status 000", "000 Broken", sized},
+	{"status 099", "099 Broken", sized},
+	{"status with a sign", "+20 Broken", sized},
+	{"status 600", "600 Broken", sized},
+	{"blank in a name", "200 OK", "Bad Name: x\r\n" + sized},
+	{"blank before a name", "200 OK", " Name: x\r\n" + sized},
+	{"blank behind a name", "200 OK", "Name : x\r\n" + sized},
+	{"tab in a name", "200 OK", "Bad\tName: x\r\n" + sized},
+	{"control byte in a name", "200 OK", "Bad\x01Name: x\r\n" + sized},
+	{"carriage return in a name", "200 OK", "Bad\rName: x\r\n" + sized},
+	{"no name", "200 OK", ": x\r\n" + sized},
+	{"blank in the name of a length", "200 OK", "Content Length: %[1]d\r\n\r\n%[2]s%[2]s"},
+	{"blank behind the name of a length", "200 OK", "Content-Length : %[1]d\r\n\r\n%[2]s%[2]s"},
+	{"blank behind the name of a coding", "200 OK", "Transfer-Encoding : chunked\r\n\r\n%[1]x\r\n%[2]s\r\n0\r\n\r\n"},
+	{"blank in a name, status 503", "503 Service Unavailable", "Bad Name: x\r\n" + sized},
+}
+
+// Response returns a response with the fault and with a body. Its head begins with fields, each of which ends its line.
+func (f Fault) Response(fields, body string) string {
+	return "HTTP/1.1 " + f.status + "\r\n" + fields + fmt.Sprintf(f.format, len(body), body)
+}
+
+// Each runs a test for each of Faults.
+func Each(t *testing.T, test func(t *testing.T, f Fault)) {
+	t.Helper()
+	for _, f := range Faults {
+		t.Run(f.Name, func(t *testing.T) { test(t, f) })
+	}
+}
+
+// Serve starts a server that reads one request on each connection, sends what respond returns for it, and closes the connection.
+// It runs until the test ends.
+func Serve(t testing.TB, respond func(*http.Request) string) (address string) {
+	t.Helper()
+	return listen(t, func(c *net.TCPConn) {
+		r, err := http.ReadRequest(bufio.NewReader(c))
+		if err != nil {
+			return
+		}
+		if _, err := io.Copy(io.Discard, r.Body); err == nil {
+			io.WriteString(c, respond(r))
+		}
+	})
+}
+
+// resetDelay is long enough for a client to fill the buffers of the sockets with an upload.
+const resetDelay = 50 * time.Millisecond
+
+// ServeReset starts a server that reads the head of one request on each connection, sends a response without a length, of which
+// part is the part of the body that comes, and resets the connection. It runs until the test ends.
+func ServeReset(t testing.TB, fields, part string) (address string) {
+	t.Helper()
+	return listen(t, func(c *net.TCPConn) {
+		if _, err := http.ReadRequest(bufio.NewReader(c)); err != nil {
+			return
+		}
+		io.WriteString(c, "HTTP/1.1 200 OK\r\n"+fields+"\r\n"+part)
+		time.Sleep(resetDelay)
+		c.SetLinger(0)
+	})
+}
+
+// Upload is a request body that the buffers of sockets do not take as a whole.
+var Upload = strings.Repeat("0123456789abcdef", 4<<20/16)
+
+// listen starts a server that serves each connection and closes it.
+func listen(t testing.TB, serve func(c *net.TCPConn)) (address string) {
+	t.Helper()
+	ln, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { ln.Close() })
+	go func() {
+		for {
+			c, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer c.Close()
+				serve(c.(*net.TCPConn))
+			}()
+		}
+	}()
+	return ln.Addr().String()
+}
