gateway: the tests of broken answers use the responses of headtest

The list stood twice. Broken answers that say that a request has not run are a test of their own now, with each fault instead of two.

--- a/gateway/brokenanswer_test.go
+++ b/gateway/brokenanswer_test.go
@@ -9,53 +9,19 @@
 	"testing"
 
 	"bulrushtally/platform/platformtest"
+	"bulrushtally/responsehead/headtest"
 )
 
-// brokenHead is an answer with a head that HTTP does not allow.
-type brokenHead struct {
-	name   string
-	status string
-	rest   string // further lines of the head, and the body
-}
-
 // evilEvent is the body of broken answers. It is a whole event with a higher ID than the events that came before.
 const evilEvent = "id: 9\ndata: evil\n\n"
 
-const evilBody = "Content-Length: 18\r\n\r\n" + evilEvent
-
-var brokenHeads = []brokenHead{
-	{"status 000", "000 Broken", evilBody},
-	{"status 000, said not to have run", "000 Broken", "Not-Executed: 1\r\n" + evilBody},
-	{"status 099", "099 Broken", evilBody},
-	{"status with a sign", "+20 Broken", evilBody},
-	{"status 600", "600 Broken", evilBody},
-	{"blank in a name", "200 OK", "Bad Name: x\r\n" + evilBody},
-	{"blank before a name", "200 OK", " Name: x\r\n" + evilBody},
-	{"blank behind a name", "200 OK", "Name : x\r\n" + evilBody},
-	{"tab in a name", "200 OK", "Bad\tName: x\r\n" + evilBody},
-	{"control byte in a name", "200 OK", "Bad\x01Name: x\r\n" + evilBody},
-	{"carriage return in a name", "200 OK", "Bad\rName: x\r\n" + evilBody},
-	{"no name", "200 OK", ": x\r\n" + evilBody},
-	{"blank in the name of a length", "200 OK", "Content Length: 18\r\n\r\n" + evilEvent + evilEvent},
-	{"blank behind the name of a length", "200 OK", "Content-Length : 18\r\n\r\n" + evilEvent + evilEvent},
-	{"blank behind the name of a coding", "200 OK", "Transfer-Encoding : chunked\r\n\r\n12\r\n" + evilEvent + "\r\n0\r\n\r\n"},
-	{"blank in a name, said not to have run", "503 Service Unavailable", "Not-Executed: 1\r\nBad Name: x\r\n" + evilBody},
-}
-
-// answer returns the function for Server.SendAnswers that sends the broken head to the requests that are named.
-func (h brokenHead) answer(b *platformtest.Server, to func(*http.Request) bool) func(*http.Request) string {
+// broken returns the function for Server.SendAnswers that sends answers with a fault and a body to the requests that are named.
+func broken(f headtest.Fault, b *platformtest.Server, body string, to func(*http.Request) bool) func(*http.Request) string {
 	return func(r *http.Request) string {
 		if !to(r) {
 			return ""
 		}
-		return "HTTP/1.1 " + h.status + "\r\n" + b.AnswerHead(r) + h.rest
-	}
-}
-
-// eachBrokenHead runs a test for each of brokenHeads.
-func eachBrokenHead(t *testing.T, test func(t *testing.T, h brokenHead)) {
-	for _, h := range brokenHeads {
-		t.Run(h.name, func(t *testing.T) { test(t, h) })
+		return f.Response(b.AnswerHead(r), body)
 	}
 }
 
@@ -73,12 +39,12 @@
 
 // Broken answers reached callers as they were.
 func TestCallWithBrokenAnswerRunsElsewhereIfItMayBeRepeated(t *testing.T) {
-	eachBrokenHead(t, func(t *testing.T, h brokenHead) {
+	headtest.Each(t, func(t *testing.T, f headtest.Fault) {
 		s := newTestbed(t, deskService)
 		one := s.startServer("i-1", "desk", 0)
 		s.startServer("i-2", "desk", 0)
 		s.waitReady()
-		one.SendAnswers(h.answer(one, anyRequest))
+		one.SendAnswers(broken(f, one, evilEvent, anyRequest))
 		if a := s.sendUntilReceived(one, "/desk/x", "body"); a.status != 200 || a.body != "done" {
 			t.Errorf("got status %d, error %v and body %q, want the answer of the other server; log:\n%s", a.status, a.err, a.body, s.logs)
 		}
@@ -87,12 +53,12 @@
 
 // The request has run, whatever the broken answer says, and must run no second time.
 func TestCallWithBrokenAnswerThatMayNotBeRepeatedEndsAsFailed(t *testing.T) {
-	eachBrokenHead(t, func(t *testing.T, h brokenHead) {
+	headtest.Each(t, func(t *testing.T, f headtest.Fault) {
 		s := newTestbed(t, ordersService)
 		one, two := s.startServer("i-1", "orders", 0), s.startServer("i-2", "orders", 0)
 		s.waitReady()
-		one.SendAnswers(h.answer(one, anyRequest))
-		two.SendAnswers(h.answer(two, anyRequest))
+		one.SendAnswers(broken(f, one, evilEvent, anyRequest))
+		two.SendAnswers(broken(f, two, evilEvent, anyRequest))
 		if a := s.send("POST", "/orders/x", "body"); a.status != 502 || a.header.Get("Retry-After") != "" {
 			t.Errorf("got status %d, error %v, body %q and header %v, want 502 without Retry-After", a.status, a.err, a.body, a.header)
 		}
@@ -102,13 +68,26 @@
 	})
 }
 
+// Nothing that a broken answer says can be relied on, not even that the request has not run.
+func TestBrokenAnswerThatSaysNotRunIsNotPassedOn(t *testing.T) {
+	headtest.Each(t, func(t *testing.T, f headtest.Fault) {
+		s := newTestbed(t, ordersService)
+		b := s.startServer("i-1", "orders", 0)
+		s.waitReady()
+		b.SendAnswers(func(r *http.Request) string { return f.Response(b.AnswerHead(r)+"Not-Executed: 1\r\n", "") })
+		if a := s.send("POST", "/orders/x", "body"); a.status != 502 || a.header.Get("Retry-After") != "" {
+			t.Errorf("got status %d, error %v and header %v, want 502 without Retry-After", a.status, a.err, a.header)
+		}
+	})
+}
+
 // An answer with a status of 500 is not final on a route that allows repeats, but a broken one is no better.
 func TestBrokenAnswerToARepeatIsNotForwarded(t *testing.T) {
-	eachBrokenHead(t, func(t *testing.T, h brokenHead) {
+	headtest.Each(t, func(t *testing.T, f headtest.Fault) {
 		s := newTestbed(t, deskService)
 		one, two := s.startServer("i-1", "desk", 0), s.startServer("i-2", "desk", 0)
 		s.waitReady()
-		one.SendAnswers(h.answer(one, anyRequest))
+		one.SendAnswers(broken(f, one, evilEvent, anyRequest))
 		two.SetDefaultBehaviour(platformtest.FailWith500)
 		a := s.sendUntilReceived(one, "/desk/x", "body")
 		if a.status != 500 && a.status != 502 || strings.Contains(a.body, "evil") {
@@ -118,12 +97,12 @@
 }
 
 func TestStreamWithBrokenAnswerBeginsElsewhere(t *testing.T) {
-	eachBrokenHead(t, func(t *testing.T, h brokenHead) {
+	headtest.Each(t, func(t *testing.T, f headtest.Fault) {
 		s := newTestbed(t, sentOnService)
 		one := s.startServer("i-1", "models", 12)
 		s.startServer("i-2", "models", 12)
 		s.waitReady()
-		one.SendAnswers(h.answer(one, anyRequest))
+		one.SendAnswers(broken(f, one, evilEvent, anyRequest))
 		a := s.sendUntilReceived(one, "/models/x", "body")
 		if a.err != nil || a.status != 200 || strings.Contains(a.body, "evil") || strings.Count(a.body, "id: ") != 12 {
 			t.Errorf("got status %d, error %v and body %q, want the 12 events of the other server; log:\n%s", a.status, a.err, a.body, s.logs)
@@ -133,12 +112,12 @@
 
 func TestStreamThatResumesWithBrokenAnswerDoesNotLookComplete(t *testing.T) {
 	resumes := func(r *http.Request) bool { return r.Header.Get("Last-Event-Id") != "" }
-	eachBrokenHead(t, func(t *testing.T, h brokenHead) {
+	headtest.Each(t, func(t *testing.T, f headtest.Fault) {
 		s := newTestbed(t, sentOnService)
 		for _, id := range []string{"i-1", "i-2"} {
 			b := s.startServer(id, "models", 12)
 			b.SetDefaultBehaviour(platformtest.DisconnectMidStream)
-			b.SendAnswers(h.answer(b, resumes))
+			b.SendAnswers(broken(f, b, evilEvent, resumes))
 		}
 		s.waitReady()
 		got := s.exchange("/models/x")
@@ -153,11 +132,11 @@
 
 func TestMovedStreamWithBrokenAnswerGoesOnOrDoesNotLookComplete(t *testing.T) {
 	moved := func(r *http.Request) bool { return r.Header.Get("Kv-From") != "" }
-	eachBrokenHead(t, func(t *testing.T, h brokenHead) {
+	headtest.Each(t, func(t *testing.T, f headtest.Fault) {
 		s, servers := newMigrationTestbed(t)
 		for _, b := range servers {
 			b.SetDefaultBehaviour(platformtest.Succeed)
-			b.SendAnswers(h.answer(b, moved))
+			b.SendAnswers(broken(f, b, evilEvent, moved))
 		}
 		a := s.sendLongPrompt()
 		if got := countMigrations(servers); got != 1 {
@@ -172,12 +151,11 @@
 // The source has stopped, or not: a broken answer to the order does not say.
 func TestStreamIsNotTakenForMovedAfterABrokenAnswerToTheOrder(t *testing.T) {
 	order := func(r *http.Request) bool { return r.URL.Path == "/-/kv-move" }
-	eachBrokenHead(t, func(t *testing.T, h brokenHead) {
-		h.rest = strings.Replace(h.rest, evilBody, "Content-Length: 16\r\n\r\n"+`{"handle": "h1"}`, 1)
+	headtest.Each(t, func(t *testing.T, f headtest.Fault) {
 		s, servers := newMigrationTestbed(t)
 		for _, b := range servers {
 			b.SetDefaultBehaviour(platformtest.Succeed)
-			b.SendAnswers(h.answer(b, order))
+			b.SendAnswers(broken(f, b, `{"handle": "h1"}`, order))
 		}
 		a := s.sendLongPrompt()
 		if !strings.Contains(s.logs.String(), `"migration-failed"`) {
@@ -195,7 +173,7 @@
 	one := s.startServer("i-1", "desk", 0)
 	s.startServer("i-2", "desk", 0)
 	s.waitReady()
-	one.SendAnswers(brokenHeads[0].answer(one, anyRequest))
+	one.SendAnswers(broken(headtest.Faults[0], one, evilEvent, anyRequest))
 	for i := range 60 {
 		if a := s.send("POST", fmt.Sprintf("/desk/%d", i), "body"); a.status != 200 || a.body != "done" {
 			t.Errorf("request %d: got status %d and body %q, want the answer of the sound server", i, a.status, a.body)
--- a/gateway/resetupload_test.go
+++ b/gateway/resetupload_test.go
@@ -7,11 +7,9 @@
 	"testing"
 
 	"bulrushtally/platform/platformtest"
+	"bulrushtally/responsehead/headtest"
 )
 
-// upload is a request body that the sockets between a gateway and a server do not take as a whole.
-var upload = strings.Repeat("0123456789abcdef", 4<<20/16)
-
 // uploads is how often each test sends an upload: whether the write or the read meets the reset first is a race.
 const uploads = 5
 
@@ -20,7 +18,7 @@
 	t.Helper()
 	s := newTestbed(t)
 	config := platformtest.Config(1, []string{"key-1"}, service)
-	config["limits"].(map[string]any)["max_body_bytes"] = len(upload)
+	config["limits"].(map[string]any)["max_body_bytes"] = len(headtest.Upload)
 	s.store.Put("op", "config", config)
 	return s
 }
@@ -33,7 +31,7 @@
 		s.startServer("i-2", "desk", 0)
 		s.waitReady()
 		one.SetDefaultBehaviour(platformtest.ResetUpload)
-		if a := s.sendUntilReceived(one, "/desk/x", upload); a.status != 200 || a.err != nil || a.body != "done" {
+		if a := s.sendUntilReceived(one, "/desk/x", headtest.Upload); a.status != 200 || a.err != nil || a.body != "done" {
 			t.Errorf("got status %d, error %v and body %q, want the answer of the other server", a.status, a.err, a.body)
 		}
 	}
@@ -46,7 +44,7 @@
 		s.waitReady()
 		one.SetDefaultBehaviour(platformtest.ResetUpload)
 		two.SetDefaultBehaviour(platformtest.ResetUpload)
-		if a := s.send("POST", "/orders/x", upload); a.status != 502 || a.header.Get("Retry-After") != "" {
+		if a := s.send("POST", "/orders/x", headtest.Upload); a.status != 502 || a.header.Get("Retry-After") != "" {
 			t.Errorf("got status %d, error %v, body %q and header %v, want 502 without Retry-After", a.status, a.err, a.body, a.header)
 		}
 		if got := len(one.Received()) + len(two.Received()); got != 1 {
@@ -65,7 +63,7 @@
 		s.waitReady()
 		one.SetDefaultBehaviour(platformtest.ResetUpload)
 		two.SetDefaultBehaviour(platformtest.FailWith500)
-		if a := s.sendUntilReceived(one, "/desk/x", upload); a.status != 500 && a.status != 502 {
+		if a := s.sendUntilReceived(one, "/desk/x", headtest.Upload); a.status != 500 && a.status != 502 {
 			t.Errorf("got status %d, error %v and body %q, want the failure of the other server, or 502", a.status, a.err, a.body)
 		}
 	}
@@ -78,7 +76,7 @@
 		s.startServer("i-2", "models", 12)
 		s.waitReady()
 		one.SetDefaultBehaviour(platformtest.ResetUpload)
-		a := s.sendUntilReceived(one, "/models/x", upload)
+		a := s.sendUntilReceived(one, "/models/x", headtest.Upload)
 		if a.status != 200 || a.err != nil || strings.Count(a.body, "id: ") != 12 {
 			t.Errorf("got status %d, error %v and body %q, want 12 events; log:\n%s", a.status, a.err, a.body, s.logs)
 		}
@@ -91,7 +89,7 @@
 	s.startServer("i-1", "orders", 0).SetDefaultBehaviour(platformtest.EndInUpload)
 	s.waitReady()
 	for range uploads {
-		if a := s.send("POST", "/orders/x", upload); a.status != 200 || a.err != nil || !strings.HasSuffix(a.body, "ended\n\n") {
+		if a := s.send("POST", "/orders/x", headtest.Upload); a.status != 200 || a.err != nil || !strings.HasSuffix(a.body, "ended\n\n") {
 			t.Errorf("got status %d, error %v and body %q, want the whole answer", a.status, a.err, a.body)
 		}
 	}
