peer, preview: a broken response opens no link and prints no preview

What was seen: a router linked to one whose answer to the upgrade had a blank in the name of a field, and the command preview printed what such an answer said. Cause: both read by net/http, which keeps a name with a blank. Status 000 was refused by both before, and a control byte and a missing name; the tests stay. Change: both connect through responsehead.Conn, links over TLS above TLS. After the switch of protocols it checks nothing.

--- a/cmd/bulrushtally/preview.go
+++ b/cmd/bulrushtally/preview.go
@@ -8,6 +8,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/url"
 	"strconv"
@@ -19,6 +20,7 @@
 
 	"bulrushtally/gateway"
 	"bulrushtally/placement"
+	"bulrushtally/responsehead"
 )
 
 // previewTimeout is how long the command waits for the router.
@@ -65,6 +67,16 @@
 	return q
 }
 
+// dialRouter connects to a router. Broken responses are errors on the connection.
+func dialRouter(ctx context.Context, network, address string) (net.Conn, error) {
+	var d net.Dialer
+	c, err := d.DialContext(ctx, network, address)
+	if err != nil {
+		return nil, err
+	}
+	return responsehead.NewConn(c), nil
+}
+
 // askPreview asks the router at an address. It fails if the router does not answer, or refuses the query.
 func askPreview(ctx context.Context, address string, query url.Values) (*placement.Preview, error) {
 	ctx, cancel := context.WithTimeout(ctx, previewTimeout)
@@ -74,7 +86,8 @@
 	if err != nil {
 		return nil, err
 	}
-	res, err := http.DefaultClient.Do(req)
+	client := http.Client{Transport: &http.Transport{Proxy: http.ProxyFromEnvironment, DialContext: dialRouter, DisableKeepAlives: true}}
+	res, err := client.Do(req)
 	if err != nil {
 		return nil, fmt.Errorf("no answer; give the address in the section [metrics] of the router's settings: %w", err)
 	}
--- a/cmd/bulrushtally/preview_test.go
+++ b/cmd/bulrushtally/preview_test.go
@@ -6,6 +6,8 @@
 	"os/exec"
 	"strings"
 	"testing"
+
+	"bulrushtally/responsehead/headtest"
 )
 
 // Fails if the command asks for another request than its flags describe, or does not print what decided.
@@ -43,3 +45,16 @@
 		t.Errorf("unknown service: got %q, want an error", out)
 	}
 }
+
+func TestPreviewRefusesABrokenResponse(t *testing.T) {
+	path, err := buildProgram()
+	if err != nil {
+		t.Fatal(err)
+	}
+	headtest.Each(t, func(t *testing.T, f headtest.Fault) {
+		address := headtest.Serve(t, func(*http.Request) string { return f.Response("", `{"Zone":"zone-a","Server":"i-1"}`) })
+		if out, err := exec.Command(path, "preview", "--service", "models", address).CombinedOutput(); err == nil {
+			t.Errorf("got %q, want an error", out)
+		}
+	})
+}
--- a/peer/peers.go
+++ b/peer/peers.go
@@ -15,6 +15,7 @@
 	"github.com/valyala/fasthttp"
 
 	"bulrushtally/fleet"
+	"bulrushtally/responsehead"
 )
 
 // Options are the parameters of Peers.
@@ -188,7 +189,7 @@
 	if p.options.ClientTLS != nil {
 		scheme = "wss://"
 	}
-	dialer := websocket.Dialer{HandshakeTimeout: p.options.SetupTimeout, TLSClientConfig: p.options.ClientTLS, NetDialContext: p.dialFromListenAddress}
+	dialer := websocket.Dialer{HandshakeTimeout: p.options.SetupTimeout, NetDialContext: p.dialPlain, NetDialTLSContext: p.dialTLS}
 	c, _, err := dialer.Dial(scheme+address+"/peer", nil)
 	if err != nil {
 		return nil, &ConnectError{address, err}
@@ -208,14 +209,33 @@
 	return l, nil
 }
 
-// dialFromListenAddress dials from the IP address that this router listens on, by which
+// netDialer returns a dialer from the IP address that this router listens on, by which
 // the other routers know it.
-func (p *Peers) dialFromListenAddress(ctx context.Context, network, address string) (net.Conn, error) {
-	dialer := net.Dialer{Timeout: p.options.SetupTimeout}
+func (p *Peers) netDialer() *net.Dialer {
+	dialer := &net.Dialer{Timeout: p.options.SetupTimeout}
 	if listenAddr, ok := p.listener.Addr().(*net.TCPAddr); ok && !listenAddr.IP.IsUnspecified() {
 		dialer.LocalAddr = &net.TCPAddr{IP: listenAddr.IP}
 	}
-	return dialer.DialContext(ctx, network, address)
+	return dialer
+}
+
+// dialPlain connects to a router without TLS. A broken response to the upgrade is an error on the connection.
+func (p *Peers) dialPlain(ctx context.Context, network, address string) (net.Conn, error) {
+	c, err := p.netDialer().DialContext(ctx, network, address)
+	if err != nil {
+		return nil, err
+	}
+	return responsehead.NewConn(c), nil
+}
+
+// dialTLS connects to a router over TLS as dialPlain does.
+func (p *Peers) dialTLS(ctx context.Context, network, address string) (net.Conn, error) {
+	dialer := tls.Dialer{NetDialer: p.netDialer(), Config: p.options.ClientTLS}
+	c, err := dialer.DialContext(ctx, network, address)
+	if err != nil {
+		return nil, err
+	}
+	return responsehead.NewConn(c), nil
 }
 
 // accept upgrades an HTTP request of another router to a WebSocket connection, runs the
