--- a/peer/broken_test.go
+++ b/peer/broken_test.go
@@ -16,39 +16,24 @@
 // until the test ends.
 func insertIntoHead(t *testing.T, address, line string) (proxy string) {
 	t.Helper()
-	ln, err := net.Listen("tcp4", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { ln.Close() })
-	go func() {
-		for {
-			client, err := ln.Accept()
-			if err != nil {
-				return
-			}
-			server, err := net.Dial("tcp4", address)
-			if err != nil {
-				client.Close()
-				return
-			}
-			go func() {
-				io.Copy(server, client)
-				server.Close()
-			}()
-			go func() {
-				defer client.Close()
-				head := make([]byte, 4<<10)
-				n, err := server.Read(head)
-				if err != nil {
-					return
-				}
-				client.Write(bytes.Replace(head[:n], []byte("\r\n"), []byte("\r\n"+line+"\r\n"), 1))
-				io.Copy(client, server)
-			}()
+	return headtest.Listen(t, func(client *net.TCPConn) {
+		server, err := net.Dial("tcp4", address)
+		if err != nil {
+			return
+		}
+		defer server.Close()
+		go func() {
+			io.Copy(server, client)
+			server.Close()
+		}()
+		head := make([]byte, 4<<10)
+		n, err := server.Read(head)
+		if err != nil {
+			return
 		}
-	}()
-	return ln.Addr().String()
+		client.Write(bytes.Replace(head[:n], []byte("\r\n"), []byte("\r\n"+line+"\r\n"), 1))
+		io.Copy(client, server)
+	})
 }
 
 func TestLinkIsNotOpenedByABrokenResponse(t *testing.T) {
--- a/responsehead/headtest/headtest.go
+++ b/responsehead/headtest/headtest.go
@@ -58,7 +58,7 @@
 // It runs until the test ends.
 func Serve(t testing.TB, respond func(*http.Request) string) (address string) {
 	t.Helper()
-	return listen(t, func(c *net.TCPConn) {
+	return Listen(t, func(c *net.TCPConn) {
 		r, err := http.ReadRequest(bufio.NewReader(c))
 		if err != nil {
 			return
@@ -76,7 +76,7 @@
 // part is the part of the body that comes, and resets the connection. It runs until the test ends.
 func ServeReset(t testing.TB, fields, part string) (address string) {
 	t.Helper()
-	return listen(t, func(c *net.TCPConn) {
+	return Listen(t, func(c *net.TCPConn) {
 		if _, err := http.ReadRequest(bufio.NewReader(c)); err != nil {
 			return
 		}
@@ -89,8 +89,8 @@
 // Upload is a request body that the buffers of sockets do not take as a whole.
 var Upload = strings.Repeat("0123456789abcdef", 4<<20/16)
 
-// listen starts a server that serves each connection and closes it.
-func listen(t testing.TB, serve func(c *net.TCPConn)) (address string) {
+// Listen starts a server that serves each connection on its own and then closes it. It runs until the test ends.
+func Listen(t testing.TB, serve func(c *net.TCPConn)) (address string) {
 	t.Helper()
 	ln, err := net.Listen("tcp4", "127.0.0.1:0")
 	if err != nil {
--- a/upstream/endless_test.go
+++ b/upstream/endless_test.go
@@ -16,6 +16,7 @@
 	"testing"
 	"time"
 
+	"bulrushtally/responsehead/headtest"
 	"bulrushtally/upstream"
 )
 
@@ -23,26 +24,11 @@
 // read, and then closes it.
 func startAnsweringServer(t *testing.T, answer func(c net.Conn, r *http.Request)) (address string) {
 	t.Helper()
-	ln, err := net.Listen("tcp4", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { ln.Close() })
-	go func() {
-		for {
-			c, err := ln.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer c.Close()
-				if r, err := http.ReadRequest(bufio.NewReader(c)); err == nil {
-					answer(c, r)
-				}
-			}()
+	return headtest.Listen(t, func(c *net.TCPConn) {
+		if r, err := http.ReadRequest(bufio.NewReader(c)); err == nil {
+			answer(c, r)
 		}
-	}()
-	return ln.Addr().String()
+	})
 }
 
 // startEndlessServer starts a backend server that answers each request with start and then with line, again and
