--- a/gateway/resetupload_test.go
+++ b/gateway/resetupload_test.go
@@ -83,6 +83,41 @@
 	}
 }
 
+// The events that came before the reset end neither a stream that resumes nor one that moves.
+func TestStreamThatGoesOnWithAnAnswerThatIsResetDoesNotLookComplete(t *testing.T) {
+	for _, test := range []struct {
+		name    string
+		service map[string]any
+		first   platformtest.Behaviour
+		events  int
+	}{
+		{"resumed", sentOnService, platformtest.DisconnectMidStream, 12},
+		{"moved", migratableService, platformtest.Succeed, migratedEvents},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			s := newUploadTestbed(t, test.service)
+			var servers []*platformtest.Server
+			for _, id := range []string{"i-1", "i-2", "i-3", "i-4"} {
+				b := s.startServer(id, "models", test.events)
+				b.SetFollowing(test.first, platformtest.ResetUpload)
+				servers = append(servers, b)
+			}
+			s.waitReady()
+			a := s.send("POST", "/models/x", headtest.Upload, "Token-Count", "20000,400")
+			received := 0
+			for _, b := range servers {
+				received += len(b.Received())
+			}
+			if received < 2 {
+				t.Errorf("got %d requests at the servers, want two or more", received)
+			}
+			if events := strings.Count(a.body, "id: "); a.status == 200 && a.err == nil && events != test.events {
+				t.Errorf("got %d events in a stream that looks complete, want %d; log:\n%s", events, test.events, s.logs)
+			}
+		})
+	}
+}
+
 // The server ends its answer, and reads the rest of the request.
 func TestWholeAnswerWithoutLengthInAnUploadArrives(t *testing.T) {
 	s := newUploadTestbed(t, ordersService)
