--- a/gateway/brokenanswer_test.go
+++ b/gateway/brokenanswer_test.go
@@ -12,8 +12,8 @@
 	"bulrushtally/responsehead/headtest"
 )
 
-// evilEvent is the body of broken answers. It is a whole event with a higher ID than the events that came before.
-const evilEvent = "id: 9\ndata: evil\n\n"
+// wrongEvent is the body of broken answers, which no caller may get: a whole event with a higher ID than those that came before.
+const wrongEvent = "id: 9\ndata: wrong\n\n"
 
 // broken returns the function for Server.SendAnswers that sends answers with a fault and a body to the requests that are named.
 func broken(f headtest.Fault, b *platformtest.Server, body string, to func(*http.Request) bool) func(*http.Request) string {
@@ -44,7 +44,7 @@
 		one := s.startServer("i-1", "desk", 0)
 		s.startServer("i-2", "desk", 0)
 		s.waitReady()
-		one.SendAnswers(broken(f, one, evilEvent, anyRequest))
+		one.SendAnswers(broken(f, one, wrongEvent, anyRequest))
 		if a := s.sendUntilReceived(one, "/desk/x", "body"); a.status != 200 || a.body != "done" {
 			t.Errorf("got status %d, error %v and body %q, want the answer of the other server; log:\n%s", a.status, a.err, a.body, s.logs)
 		}
@@ -57,8 +57,8 @@
 		s := newTestbed(t, ordersService)
 		one, two := s.startServer("i-1", "orders", 0), s.startServer("i-2", "orders", 0)
 		s.waitReady()
-		one.SendAnswers(broken(f, one, evilEvent, anyRequest))
-		two.SendAnswers(broken(f, two, evilEvent, anyRequest))
+		one.SendAnswers(broken(f, one, wrongEvent, anyRequest))
+		two.SendAnswers(broken(f, two, wrongEvent, anyRequest))
 		if a := s.send("POST", "/orders/x", "body"); a.status != 502 || a.header.Get("Retry-After") != "" {
 			t.Errorf("got status %d, error %v, body %q and header %v, want 502 without Retry-After", a.status, a.err, a.body, a.header)
 		}
@@ -87,10 +87,10 @@
 		s := newTestbed(t, deskService)
 		one, two := s.startServer("i-1", "desk", 0), s.startServer("i-2", "desk", 0)
 		s.waitReady()
-		one.SendAnswers(broken(f, one, evilEvent, anyRequest))
+		one.SendAnswers(broken(f, one, wrongEvent, anyRequest))
 		two.SetDefaultBehaviour(platformtest.FailWith500)
 		a := s.sendUntilReceived(one, "/desk/x", "body")
-		if a.status != 500 && a.status != 502 || strings.Contains(a.body, "evil") {
+		if a.status != 500 && a.status != 502 || strings.Contains(a.body, "wrong") {
 			t.Errorf("got status %d, error %v and body %q, want the failure of the sound server, or 502; log:\n%s", a.status, a.err, a.body, s.logs)
 		}
 	})
@@ -102,9 +102,9 @@
 		one := s.startServer("i-1", "models", 12)
 		s.startServer("i-2", "models", 12)
 		s.waitReady()
-		one.SendAnswers(broken(f, one, evilEvent, anyRequest))
+		one.SendAnswers(broken(f, one, wrongEvent, anyRequest))
 		a := s.sendUntilReceived(one, "/models/x", "body")
-		if a.err != nil || a.status != 200 || strings.Contains(a.body, "evil") || strings.Count(a.body, "id: ") != 12 {
+		if a.err != nil || a.status != 200 || strings.Contains(a.body, "wrong") || strings.Count(a.body, "id: ") != 12 {
 			t.Errorf("got status %d, error %v and body %q, want the 12 events of the other server; log:\n%s", a.status, a.err, a.body, s.logs)
 		}
 	})
@@ -117,11 +117,11 @@
 		for _, id := range []string{"i-1", "i-2"} {
 			b := s.startServer(id, "models", 12)
 			b.SetDefaultBehaviour(platformtest.DisconnectMidStream)
-			b.SendAnswers(broken(f, b, evilEvent, resumes))
+			b.SendAnswers(broken(f, b, wrongEvent, resumes))
 		}
 		s.waitReady()
 		got := s.exchange("/models/x")
-		if strings.Count(got, "HTTP/1.1 ") != 1 || strings.Count(got, "id: ") != 1 || strings.Contains(got, "evil") {
+		if strings.Count(got, "HTTP/1.1 ") != 1 || strings.Count(got, "id: ") != 1 || strings.Contains(got, "wrong") {
 			t.Errorf("got %q, want one head and the one event that was whole", got)
 		}
 		if strings.HasSuffix(got, "0\r\n\r\n") {
@@ -136,13 +136,13 @@
 		s, servers := newMigrationTestbed(t)
 		for _, b := range servers {
 			b.SetDefaultBehaviour(platformtest.Succeed)
-			b.SendAnswers(broken(f, b, evilEvent, moved))
+			b.SendAnswers(broken(f, b, wrongEvent, moved))
 		}
 		a := s.sendLongPrompt()
 		if got := countMigrations(servers); got != 1 {
 			t.Fatalf("got %d migrations, want 1; log:\n%s", got, s.logs)
 		}
-		if events := strings.Count(a.body, "id: "); strings.Contains(a.body, "evil") || a.err == nil && a.status == 200 && events != migratedEvents {
+		if events := strings.Count(a.body, "id: "); strings.Contains(a.body, "wrong") || a.err == nil && a.status == 200 && events != migratedEvents {
 			t.Errorf("got error %v and body %q, want %d events or an error", a.err, a.body, migratedEvents)
 		}
 	})
@@ -173,7 +173,7 @@
 	one := s.startServer("i-1", "desk", 0)
 	s.startServer("i-2", "desk", 0)
 	s.waitReady()
-	one.SendAnswers(broken(headtest.Faults[0], one, evilEvent, anyRequest))
+	one.SendAnswers(broken(headtest.Faults[0], one, wrongEvent, anyRequest))
 	for i := range 60 {
 		if a := s.send("POST", fmt.Sprintf("/desk/%d", i), "body"); a.status != 200 || a.body != "done" {
 			t.Errorf("request %d: got status %d and body %q, want the answer of the sound server", i, a.status, a.body)
--- a/responsehead/conn.go
+++ b/responsehead/conn.go
@@ -1,6 +1,6 @@
 package responsehead
 
-// This file defines Conn, for clients that parse responses by a library.
+// This file defines Conn, which checks the responses on a connection.
 
 import (
 	"net"
@@ -8,14 +8,14 @@
 	"sync/atomic"
 )
 
-// Conn is a client's connection that checks the heads of responses. Its Read returns an *Error in place of the byte that shows
-// that a head is not valid, so that the parser never has the whole of it. The client sends one request at a time, and writes it
-// whole before it reads the response.
+// Conn is a client's connection that checks the heads of responses, for a client that parses them by a library. Its Read returns
+// an *Error in place of the byte that shows that a head is not valid, so that the parser never has the whole of it. The client
+// must send one request at a time, and write all of it before it reads the response.
 type Conn struct {
 	net.Conn
-	written  atomic.Bool // a request was written since the last read
-	scanner  Scanner     // of the head that comes, or came last
-	err      error       // of a head
+	written  atomic.Bool // a part of a request was written since the last read
+	scanner  Scanner     // of the head that is being read, or was read last
+	err      error       // of the scanner
 	upgraded bool        // the connection does not carry HTTP any more
 }
 
@@ -45,7 +45,7 @@
 	return n, err
 }
 
-// scan checks what b has of heads, and returns how many of its bytes come before an error.
+// scan checks the parts of heads in b. It returns how many bytes of b come before the one that shows that a head is not valid.
 func (c *Conn) scan(b []byte) (valid int, err error) {
 	for valid < len(b) && !c.scanner.Ended() && !c.upgraded {
 		n, err := c.scanner.Scan(b[valid:])
@@ -53,18 +53,19 @@
 		if err != nil {
 			return valid, err
 		}
-		c.afterHead()
+		if c.scanner.Ended() {
+			c.endHead()
+		}
 	}
 	return valid, nil
 }
 
-// afterHead prepares for what comes after a head that has ended: after an interim response, another one.
-func (c *Conn) afterHead() {
-	switch {
-	case !c.scanner.Ended():
-	case c.scanner.Status() == http.StatusSwitchingProtocols:
+// endHead prepares for what comes after a head: after that of an interim response, another head.
+func (c *Conn) endHead() {
+	switch status := c.scanner.Status(); {
+	case status == http.StatusSwitchingProtocols:
 		c.upgraded = true
-	case c.scanner.Status() < http.StatusOK:
+	case status < http.StatusOK:
 		c.scanner = Scanner{}
 	}
 }
--- a/responsehead/scanner.go
+++ b/responsehead/scanner.go
@@ -22,24 +22,24 @@
 	maxStatus    = 599
 )
 
-// place is where in a head the next byte belongs.
-type place int
+// position is where in a head the next byte belongs.
+type position int
 
 const (
-	inProtocol place = iota // of the status line
-	inStatus                // the status code, or a blank before it
-	inReason                // the rest of the status line
-	inName                  // the name of a field, or the empty line at the end
-	inValue                 // the rest of a line with a field
+	inProtocol position = iota // of the status line
+	inStatus                   // the status code, or a blank before it
+	inReason                   // the rest of the status line
+	inName                     // the name of a field, or the empty line at the end
+	inValue                    // the rest of a line with a field
 	afterHead
 )
 
-// Scanner checks the head of one response as its bytes come. The zero value is at the start of a head. It leaves to the parser
-// what parsers agree on.
+// Scanner checks the head of one response as its bytes come. The zero value is at the start of a head. It checks the status code
+// and the names of fields, and leaves the rest, such as values, to the parser that reads the same bytes.
 type Scanner struct {
-	at     place
+	at     position
 	length int  // bytes of the current line so far, without a line feed
-	bare   bool // the current line is a carriage return so far
+	loneCR bool // the current line is one carriage return so far
 	digits int  // of the status code so far
 	status int
 }
@@ -62,6 +62,7 @@
 // Status returns the status code of a head that has ended.
 func (s *Scanner) Status() int { return s.status }
 
+// scanByte checks one byte.
 func (s *Scanner) scanByte(c byte) error {
 	if c == '\n' {
 		return s.endLine()
@@ -80,7 +81,7 @@
 			return err
 		}
 	}
-	s.bare = c == '\r' && s.length == 0
+	s.loneCR = c == '\r' && s.length == 0
 	s.length++
 	return nil
 }
@@ -119,7 +120,7 @@
 		return nil
 	case c == '\r' && atStart: // of the empty line
 		return nil
-	case isTokenByte(c) && !s.bare:
+	case isTokenByte(c) && !s.loneCR:
 		return nil
 	}
 	return &Error{fmt.Sprintf("the name of a field has %q", c)}
@@ -134,24 +135,24 @@
 	return strings.IndexByte("!#$%&'*+-.^_`|~", c) >= 0
 }
 
-// endLine checks the line that has ended.
+// endLine checks the line that has ended, and goes on to the next one.
 func (s *Scanner) endLine() error {
-	empty := s.length == 0 || s.bare
-	place := s.at
-	s.length, s.bare = 0, false
+	empty := s.length == 0 || s.loneCR
+	at := s.at
+	s.length, s.loneCR = 0, false
 	switch {
-	case place == inProtocol && empty: // parsers may skip empty lines before a response
+	case at == inProtocol && empty: // parsers may skip empty lines before a response
 		return nil
-	case place == inProtocol:
+	case at == inProtocol:
 		return &Error{"the status line has no status code"}
-	case place == inName && empty:
+	case at == inName && empty:
 		s.at = afterHead
 		return nil
-	case place == inName:
+	case at == inName:
 		return &Error{"a line has no colon"}
 	}
 	s.at = inName
-	if place == inStatus {
+	if at == inStatus {
 		return s.checkStatus()
 	}
 	return nil
--- a/upstream/exchange.go
+++ b/upstream/exchange.go
@@ -240,12 +240,12 @@
 // longAgo is a deadline that has passed.
 var longAgo = time.Unix(1, 0)
 
-// connectionError returns the error of the connection if that, and not the server, ended a response which ends with its
-// connection, and else nil.
+// connectionError is asked at the end of a response. It returns why the connection broke, if that and not the server ended a
+// response whose end is that of its connection, or else nil.
 //
-// The kernel reports the error of a connection, such as a reset, once. If the write of a long request body gets it, the read of
-// the response sees the same end as that of a complete one. After such an end by the server itself, a write gets EPIPE at most. A
-// write that still goes on at the end has got no error, so the rest of the request is not waited for.
+// The kernel reports the error of a connection, such as a reset, to one call only. If that is the write of a long request body, the
+// read of the response sees an end of file, as if the server had closed the connection. If the server has closed it before it broke,
+// the write gets EPIPE. A write that still goes on has got no error, and the rest of the request is not waited for.
 func (x *Exchange) connectionError() error {
 	if x.bodyWritten == nil || !x.EndsWithConnection() || x.response.Body == http.NoBody {
 		return nil
