--- a/cmd/bulrushtally/preview.go
+++ b/cmd/bulrushtally/preview.go
@@ -70,11 +70,7 @@
 // dialRouter connects to a router. Broken responses are errors on the connection.
 func dialRouter(ctx context.Context, network, address string) (net.Conn, error) {
 	var d net.Dialer
-	c, err := d.DialContext(ctx, network, address)
-	if err != nil {
-		return nil, err
-	}
-	return responsehead.NewConn(c), nil
+	return responsehead.Wrap(d.DialContext(ctx, network, address))
 }
 
 // askPreview asks the router at an address. It fails if the router does not answer, or refuses the query.
--- a/ledger/client.go
+++ b/ledger/client.go
@@ -104,7 +104,7 @@
 			RetryIfErr:                func(*fasthttp.Request, int, error) (bool, bool) { return false, false },
 			MaxIdleConnDuration:       5 * time.Second,
 			MaxResponseBodySize:       maxResponseBytes,
-			Dial:                      func(a string) (net.Conn, error) { return dial(a, o.Timeout) },
+			Dial:                      func(a string) (net.Conn, error) { return responsehead.Wrap(fasthttp.DialTimeout(a, o.Timeout)) },
 		},
 		reads:  newLimiter(o.ReadsPerSecond),
 		writes: newLimiter(o.WritesPerSecond),
@@ -119,15 +119,6 @@
 	}
 }
 
-// dial connects to the platform. Broken responses are errors on the connection.
-func dial(address string, timeout time.Duration) (net.Conn, error) {
-	c, err := fasthttp.DialTimeout(address, timeout)
-	if err != nil {
-		return nil, err
-	}
-	return responsehead.NewConn(c), nil
-}
-
 // newLimiter returns a rate limiter whose burst is half a second's calls, but at least
 // minBurstRequests.
 func newLimiter(perSecond float64) *rate.Limiter {
--- a/operator/broken_test.go
+++ b/operator/broken_test.go
@@ -7,6 +7,7 @@
 	"net/http/httptest"
 	"os"
 	"path/filepath"
+	"sync/atomic"
 	"testing"
 
 	"bulrushtally/config"
@@ -30,9 +31,9 @@
 
 // A router that takes callers over TLS takes operators over it, too.
 func TestBrokenResponsesToOperatorsAreErrorsOverTLS(t *testing.T) {
-	broken := false
+	var broken atomic.Bool
 	router := httptest.NewTLSServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
-		if !broken {
+		if !broken.Load() {
 			io.WriteString(w, `{"revision": 7}`)
 			return
 		}
@@ -55,7 +56,7 @@
 	if status, err := c.Status(); err != nil || status.Revision != 7 {
 		t.Errorf("valid response: got %+v and error %v, want revision 7", status, err)
 	}
-	broken = true
+	broken.Store(true)
 	if status, err := c.Status(); err == nil {
 		t.Errorf("broken response: got %+v, want an error", status)
 	}
--- a/operator/client.go
+++ b/operator/client.go
@@ -43,17 +43,17 @@
 
 // dial connects to a router.
 func dial(address string, isTLS bool) (net.Conn, error) {
-	c, err := fasthttp.Dial(address)
-	if err != nil {
-		return nil, err
-	}
 	if !isTLS {
-		return responsehead.NewConn(c), nil
+		return responsehead.Wrap(fasthttp.Dial(address))
 	}
 	host, _, err := net.SplitHostPort(address)
 	if err != nil {
 		return nil, err
 	}
+	c, err := fasthttp.Dial(address)
+	if err != nil {
+		return nil, err
+	}
 	encrypted := tls.Client(c, &tls.Config{ServerName: host})
 	return &tlsConn{responsehead.NewConn(encrypted), encrypted}, nil
 }
--- a/peer/peers.go
+++ b/peer/peers.go
@@ -221,21 +221,13 @@
 
 // dialPlain connects to a router without TLS. A broken response to the upgrade is an error on the connection.
 func (p *Peers) dialPlain(ctx context.Context, network, address string) (net.Conn, error) {
-	c, err := p.netDialer().DialContext(ctx, network, address)
-	if err != nil {
-		return nil, err
-	}
-	return responsehead.NewConn(c), nil
+	return responsehead.Wrap(p.netDialer().DialContext(ctx, network, address))
 }
 
 // dialTLS connects to a router over TLS as dialPlain does.
 func (p *Peers) dialTLS(ctx context.Context, network, address string) (net.Conn, error) {
 	dialer := tls.Dialer{NetDialer: p.netDialer(), Config: p.options.ClientTLS}
-	c, err := dialer.DialContext(ctx, network, address)
-	if err != nil {
-		return nil, err
-	}
-	return responsehead.NewConn(c), nil
+	return responsehead.Wrap(dialer.DialContext(ctx, network, address))
 }
 
 // accept upgrades an HTTP request of another router to a WebSocket connection, runs the
--- a/responsehead/conn.go
+++ b/responsehead/conn.go
@@ -22,6 +22,14 @@
 // NewConn returns a Conn for a connection that has carried nothing. Over TLS, that is the connection which encrypts.
 func NewConn(c net.Conn) *Conn { return &Conn{Conn: c} }
 
+// Wrap returns a Conn for the connection that a dial has made, or the error of the dial.
+func Wrap(c net.Conn, err error) (net.Conn, error) {
+	if err != nil {
+		return nil, err
+	}
+	return NewConn(c), nil
+}
+
 // Write writes a part of a request.
 func (c *Conn) Write(b []byte) (int, error) {
 	c.written.Store(true)
