upstream, operator, responsehead: read as a newcomer would, split and renamed

The body of a response is read in upstream/body.go, the connections of an operator's client are made in operator/dial.go; both were moved as they are. "Blank" is a space, "the name of a field" a field name, as in RFC 9110; what TLS and a response to HEAD have to do with a check is said where it is made. No check changes: the tests are the same but for names.

--- a/backend/broken_test.go
+++ b/backend/broken_test.go
@@ -9,7 +9,7 @@
 	"bulrushtally/responsehead/headtest"
 )
 
-// fasthttp takes a status of 000 for 200, and reads past a blank in a name: callers got such responses.
+// fasthttp takes a status of 000 for 200, and accepts a space in a field name: callers got such responses.
 func TestBrokenResponsesOfServersAreProtocolFaults(t *testing.T) {
 	client := backend.NewClient(timeouts)
 	headtest.Each(t, func(t *testing.T, f headtest.Fault) {
--- a/gateway/brokenanswer_test.go
+++ b/gateway/brokenanswer_test.go
@@ -1,6 +1,6 @@
 package gateway_test
 
-// This file tests answers of backend servers whose heads HTTP does not allow, on each path on which a gateway reads answers.
+// This file tests answers of backend servers whose heads are not valid HTTP, on each path on which a gateway reads answers.
 
 import (
 	"fmt"
@@ -15,8 +15,8 @@
 // wrongEvent is the body of broken answers, which no caller may get: a whole event with a higher ID than those that came before.
 const wrongEvent = "id: 9\ndata: wrong\n\n"
 
-// broken returns the function for Server.SendAnswers that sends answers with a fault and a body to the requests that are named.
-func broken(f headtest.Fault, b *platformtest.Server, body string, to func(*http.Request) bool) func(*http.Request) string {
+// brokenAnswers returns a function for Server.SendAnswers: the requests that to names get an answer with a fault and a body.
+func brokenAnswers(f headtest.Fault, b *platformtest.Server, body string, to func(*http.Request) bool) func(*http.Request) string {
 	return func(r *http.Request) string {
 		if !to(r) {
 			return ""
@@ -44,7 +44,7 @@
 		one := s.startServer("i-1", "desk", 0)
 		s.startServer("i-2", "desk", 0)
 		s.waitReady()
-		one.SendAnswers(broken(f, one, wrongEvent, anyRequest))
+		one.SendAnswers(brokenAnswers(f, one, wrongEvent, anyRequest))
 		if a := s.sendUntilReceived(one, "/desk/x", "body"); a.status != 200 || a.body != "done" {
 			t.Errorf("got status %d, error %v and body %q, want the answer of the other server; log:\n%s", a.status, a.err, a.body, s.logs)
 		}
@@ -57,8 +57,8 @@
 		s := newTestbed(t, ordersService)
 		one, two := s.startServer("i-1", "orders", 0), s.startServer("i-2", "orders", 0)
 		s.waitReady()
-		one.SendAnswers(broken(f, one, wrongEvent, anyRequest))
-		two.SendAnswers(broken(f, two, wrongEvent, anyRequest))
+		one.SendAnswers(brokenAnswers(f, one, wrongEvent, anyRequest))
+		two.SendAnswers(brokenAnswers(f, two, wrongEvent, anyRequest))
 		if a := s.send("POST", "/orders/x", "body"); a.status != 502 || a.header.Get("Retry-After") != "" {
 			t.Errorf("got status %d, error %v, body %q and header %v, want 502 without Retry-After", a.status, a.err, a.body, a.header)
 		}
@@ -87,7 +87,7 @@
 		s := newTestbed(t, deskService)
 		one, two := s.startServer("i-1", "desk", 0), s.startServer("i-2", "desk", 0)
 		s.waitReady()
-		one.SendAnswers(broken(f, one, wrongEvent, anyRequest))
+		one.SendAnswers(brokenAnswers(f, one, wrongEvent, anyRequest))
 		two.SetDefaultBehaviour(platformtest.FailWith500)
 		a := s.sendUntilReceived(one, "/desk/x", "body")
 		if a.status != 500 && a.status != 502 || strings.Contains(a.body, "wrong") {
@@ -102,7 +102,7 @@
 		one := s.startServer("i-1", "models", 12)
 		s.startServer("i-2", "models", 12)
 		s.waitReady()
-		one.SendAnswers(broken(f, one, wrongEvent, anyRequest))
+		one.SendAnswers(brokenAnswers(f, one, wrongEvent, anyRequest))
 		a := s.sendUntilReceived(one, "/models/x", "body")
 		if a.err != nil || a.status != 200 || strings.Contains(a.body, "wrong") || strings.Count(a.body, "id: ") != 12 {
 			t.Errorf("got status %d, error %v and body %q, want the 12 events of the other server; log:\n%s", a.status, a.err, a.body, s.logs)
@@ -117,7 +117,7 @@
 		for _, id := range []string{"i-1", "i-2"} {
 			b := s.startServer(id, "models", 12)
 			b.SetDefaultBehaviour(platformtest.DisconnectMidStream)
-			b.SendAnswers(broken(f, b, wrongEvent, resumes))
+			b.SendAnswers(brokenAnswers(f, b, wrongEvent, resumes))
 		}
 		s.waitReady()
 		got := s.exchange("/models/x")
@@ -136,7 +136,7 @@
 		s, servers := newMigrationTestbed(t)
 		for _, b := range servers {
 			b.SetDefaultBehaviour(platformtest.Succeed)
-			b.SendAnswers(broken(f, b, wrongEvent, moved))
+			b.SendAnswers(brokenAnswers(f, b, wrongEvent, moved))
 		}
 		a := s.sendLongPrompt()
 		if got := countMigrations(servers); got != 1 {
@@ -155,7 +155,7 @@
 		s, servers := newMigrationTestbed(t)
 		for _, b := range servers {
 			b.SetDefaultBehaviour(platformtest.Succeed)
-			b.SendAnswers(broken(f, b, `{"handle": "h1"}`, order))
+			b.SendAnswers(brokenAnswers(f, b, `{"handle": "h1"}`, order))
 		}
 		a := s.sendLongPrompt()
 		if !strings.Contains(s.logs.String(), `"migration-failed"`) {
@@ -167,13 +167,13 @@
 	})
 }
 
-// A server that breaks answers is held as one that breaks them off.
+// A broken answer counts against its server as a broken connection does.
 func TestBrokenAnswersCountAsBrokenOff(t *testing.T) {
 	s := newTestbed(t, deskService)
 	one := s.startServer("i-1", "desk", 0)
 	s.startServer("i-2", "desk", 0)
 	s.waitReady()
-	one.SendAnswers(broken(headtest.Faults[0], one, wrongEvent, anyRequest))
+	one.SendAnswers(brokenAnswers(headtest.Faults[0], one, wrongEvent, anyRequest))
 	for i := range 60 {
 		if a := s.send("POST", fmt.Sprintf("/desk/%d", i), "body"); a.status != 200 || a.body != "done" {
 			t.Errorf("request %d: got status %d and body %q, want the answer of the sound server", i, a.status, a.body)
--- a/ledger/broken_test.go
+++ b/ledger/broken_test.go
@@ -14,7 +14,7 @@
 	return ledger.NewClient(ledger.Options{Address: address, Timeout: 2 * time.Second, ReadsPerSecond: 1e4, WritesPerSecond: 1e4})
 }
 
-// fasthttp takes a status of 000 for 200, and reads past a blank in a name: a write seemed to have taken effect.
+// fasthttp takes a status of 000 for 200, and accepts a space in a field name: a write seemed to have taken effect.
 func TestBrokenResponsesOfThePlatformSayNothing(t *testing.T) {
 	headtest.Each(t, func(t *testing.T, f headtest.Fault) {
 		c := newClientAt(headtest.Serve(t, func(*http.Request) string { return f.Response("", `{"key": "k", "version": 7}`) }))
--- a/operator/broken_test.go
+++ b/operator/broken_test.go
@@ -15,7 +15,7 @@
 	"bulrushtally/responsehead/headtest"
 )
 
-// fasthttp takes a status of 000 for 200, and reads past a blank in a name: a change seemed to be accepted.
+// fasthttp takes a status of 000 for 200, and accepts a space in a field name: a change seemed to be accepted.
 func TestBrokenResponsesToOperatorsAreErrors(t *testing.T) {
 	headtest.Each(t, func(t *testing.T, f headtest.Fault) {
 		address := headtest.Serve(t, func(*http.Request) string { return f.Response("", `{"revision": 7}`) })
--- a/operator/client.go
+++ b/operator/client.go
@@ -3,10 +3,8 @@
 // This file defines Client, the API client of the command line's operator commands.
 
 import (
-	"crypto/tls"
 	"encoding/json"
 	"fmt"
-	"net"
 	"net/url"
 	"strconv"
 	"time"
@@ -15,7 +13,6 @@
 	"github.com/valyala/fasthttp"
 
 	"bulrushtally/config"
-	"bulrushtally/responsehead"
 	"bulrushtally/schedule"
 )
 
@@ -32,41 +29,9 @@
 // NewClient returns a client for the router at a URL, such as http://10.0.0.1:8080, that
 // authenticates with an operator's key.
 func NewClient(base, key string) *Client {
-	return &Client{baseURL: base + BasePath, key: key, http: &fasthttp.Client{MaxIdemponentCallAttempts: 1, ConfigureClient: configure}}
+	return &Client{baseURL: base + BasePath, key: key, http: &fasthttp.Client{MaxIdemponentCallAttempts: 1, ConfigureClient: checkResponses}}
 }
 
-// configure makes broken responses of a router errors on its connections.
-func configure(c *fasthttp.HostClient) error {
-	c.Dial = func(address string) (net.Conn, error) { return dial(address, c.IsTLS) }
-	return nil
-}
-
-// dial connects to a router.
-func dial(address string, isTLS bool) (net.Conn, error) {
-	if !isTLS {
-		return responsehead.Wrap(fasthttp.Dial(address))
-	}
-	host, _, err := net.SplitHostPort(address)
-	if err != nil {
-		return nil, err
-	}
-	c, err := fasthttp.Dial(address)
-	if err != nil {
-		return nil, err
-	}
-	encrypted := tls.Client(c, &tls.Config{ServerName: host})
-	return &tlsConn{responsehead.NewConn(encrypted), encrypted}, nil
-}
-
-// tlsConn is a connection over TLS. By its method Handshake, fasthttp knows that it encrypts.
-type tlsConn struct {
-	*responsehead.Conn
-	encrypted *tls.Conn
-}
-
-// Handshake runs the handshake of TLS if it has not run.
-func (c *tlsConn) Handshake() error { return c.encrypted.Handshake() }
-
 // call sends an HTTP request with body encoded as JSON, unless it is nil, and decodes the
 // response into result, unless that is nil. It returns a *Failure for an error response.
 func (c *Client) call(method, path string, headers map[string]string, body, result any) error {
--- a/responsehead/conn.go
+++ b/responsehead/conn.go
@@ -9,7 +9,7 @@
 )
 
 // Conn is a client's connection that checks the heads of responses, for a client that parses them by a library. Its Read returns
-// an *Error in place of the byte that shows that a head is not valid, so that the parser never has the whole of it. The client
+// an *Error in place of the byte that shows that a head is not valid, so that the parser never gets a whole head. The client
 // must send one request at a time, and write all of it before it reads the response.
 type Conn struct {
 	net.Conn
@@ -19,7 +19,7 @@
 	upgraded bool        // the connection does not carry HTTP any more
 }
 
-// NewConn returns a Conn for a connection that has carried nothing. Over TLS, that is the connection which encrypts.
+// NewConn returns a Conn for a connection that has carried nothing. With TLS, give it the *tls.Conn: it must see plain text.
 func NewConn(c net.Conn) *Conn { return &Conn{Conn: c} }
 
 // Wrap returns a Conn for the connection that a dial has made, or the error of the dial.
@@ -46,9 +46,10 @@
 	if c.written.Swap(false) { // asked after the read, since that may have begun before the request was written
 		c.scanner = Scanner{}
 	}
-	valid := 0
-	if valid, c.err = c.scan(b[:n]); c.err != nil {
-		return valid, c.err
+	valid, headErr := c.scan(b[:n])
+	if headErr != nil {
+		c.err = headErr
+		return valid, headErr
 	}
 	return n, err
 }
@@ -68,7 +69,7 @@
 	return valid, nil
 }
 
-// endHead prepares for what comes after a head: after that of an interim response, another head.
+// endHead prepares for what comes after a head: another head after an interim response (1xx), no HTTP after an upgrade.
 func (c *Conn) endHead() {
 	switch status := c.scanner.Status(); {
 	case status == http.StatusSwitchingProtocols:
--- a/responsehead/headtest/headtest.go
+++ b/responsehead/headtest/headtest.go
@@ -16,29 +16,29 @@
 type Fault struct {
 	Name   string
 	status string // code and reason
-	format string // of the end of the head and the body, given the length of the body and the body
+	format string // of the last fields and the body; its arguments are the length of the body and the body
 }
 
-// sized is the format of an end that is valid.
-const sized = "Content-Length: %[1]d\r\n\r\n%[2]s"
+// withLength is a format that is valid.
+const withLength = "Content-Length: %[1]d\r\n\r\n%[2]s"
 
 // Faults are the faults that a client must find.
 var Faults = []Fault{
-	{"status 000", "000 Broken", sized},
-	{"status 099", "099 Broken", sized},
-	{"status with a sign", "+20 Broken", sized},
-	{"status 600", "600 Broken", sized},
-	{"blank in a name", "200 OK", "Bad Name: x\r\n" + sized},
-	{"blank before a name", "200 OK", " Name: x\r\n" + sized},
-	{"blank behind a name", "200 OK", "Name : x\r\n" + sized},
-	{"tab in a name", "200 OK", "Bad\tName: x\r\n" + sized},
-	{"control byte in a name", "200 OK", "Bad\x01Name: x\r\n" + sized},
-	{"carriage return in a name", "200 OK", "Bad\rName: x\r\n" + sized},
-	{"no name", "200 OK", ": x\r\n" + sized},
-	{"blank in the name of a length", "200 OK", "Content Length: %[1]d\r\n\r\n%[2]s%[2]s"},
-	{"blank behind the name of a length", "200 OK", "Content-Length : %[1]d\r\n\r\n%[2]s%[2]s"},
-	{"blank behind the name of a coding", "200 OK", "Transfer-Encoding : chunked\r\n\r\n%[1]x\r\n%[2]s\r\n0\r\n\r\n"},
-	{"blank in a name, status 503", "503 Service Unavailable", "Bad Name: x\r\n" + sized},
+	{"status 000", "000 Broken", withLength},
+	{"status 099", "099 Broken", withLength},
+	{"status with a sign", "+20 Broken", withLength},
+	{"status 600", "600 Broken", withLength},
+	{"space in a name", "200 OK", "Bad Name: x\r\n" + withLength},
+	{"space before a name", "200 OK", " Name: x\r\n" + withLength},
+	{"space after a name", "200 OK", "Name : x\r\n" + withLength},
+	{"tab in a name", "200 OK", "Bad\tName: x\r\n" + withLength},
+	{"control byte in a name", "200 OK", "Bad\x01Name: x\r\n" + withLength},
+	{"carriage return in a name", "200 OK", "Bad\rName: x\r\n" + withLength},
+	{"no name", "200 OK", ": x\r\n" + withLength},
+	{"space in Content-Length", "200 OK", "Content Length: %[1]d\r\n\r\n%[2]s%[2]s"},
+	{"space after Content-Length", "200 OK", "Content-Length : %[1]d\r\n\r\n%[2]s%[2]s"},
+	{"space after Transfer-Encoding", "200 OK", "Transfer-Encoding : chunked\r\n\r\n%[1]x\r\n%[2]s\r\n0\r\n\r\n"},
+	{"space in a name, status 503", "503 Service Unavailable", "Bad Name: x\r\n" + withLength},
 }
 
 // Response returns a response with the fault and with a body. Its head begins with fields, each of which ends its line.
@@ -72,8 +72,8 @@
 // resetDelay is long enough for a client to fill the buffers of the sockets with an upload.
 const resetDelay = 50 * time.Millisecond
 
-// ServeReset starts a server that reads the head of one request on each connection, sends a response without a length, of which
-// part is the part of the body that comes, and resets the connection. It runs until the test ends.
+// ServeReset starts a server that reads the head of one request on each connection, sends a response without a length whose body
+// is cut off after part, and resets the connection. It runs until the test ends.
 func ServeReset(t testing.TB, fields, part string) (address string) {
 	t.Helper()
 	return Listen(t, func(c *net.TCPConn) {
--- a/responsehead/scanner.go
+++ b/responsehead/scanner.go
@@ -15,7 +15,7 @@
 	return "response head is not valid HTTP/1: " + e.Reason + "; check the server's software"
 }
 
-// Status codes of valid responses, by RFC 9110, section 15.
+// Status codes of valid responses (RFC 9110, section 15).
 const (
 	statusDigits = 3
 	minStatus    = 100
@@ -27,15 +27,15 @@
 
 const (
 	inProtocol position = iota // of the status line
-	inStatus                   // the status code, or a blank before it
+	inStatus                   // the status code, or a space before it
 	inReason                   // the rest of the status line
-	inName                     // the name of a field, or the empty line at the end
+	inName                     // a field name, or the empty line at the end
 	inValue                    // the rest of a line with a field
 	afterHead
 )
 
 // Scanner checks the head of one response as its bytes come. The zero value is at the start of a head. It checks the status code
-// and the names of fields, and leaves the rest, such as values, to the parser that reads the same bytes.
+// and the field names, and leaves the rest, such as values, to the parser that reads the same bytes.
 type Scanner struct {
 	at     position
 	length int  // bytes of the current line so far, without a line feed
@@ -93,7 +93,7 @@
 		s.status = s.status*10 + int(c-'0')
 		s.digits++
 		return nil
-	case c == ' ' && s.digits == 0: // parsers skip further blanks
+	case c == ' ' && s.digits == 0: // parsers skip further spaces
 		return nil
 	case c == ' ' || c == '\r':
 		s.at = inReason
@@ -110,8 +110,8 @@
 	return nil
 }
 
-// scanName checks a byte of the name of a field, or the byte after it. A blank at the start would continue the value of the line
-// before, which a server must not send (RFC 9112, section 5.2).
+// scanName checks a byte of a field name, or the byte after it. A space at the start would fold the line into the value before,
+// which a server must not send (RFC 9112, section 5.2).
 func (s *Scanner) scanName(c byte) error {
 	atStart := s.length == 0
 	switch {
@@ -123,10 +123,10 @@
 	case isTokenByte(c) && !s.loneCR:
 		return nil
 	}
-	return &Error{fmt.Sprintf("the name of a field has %q", c)}
+	return &Error{fmt.Sprintf("a field name has %q", c)}
 }
 
-// isTokenByte reports whether the name of a field may hold a byte, by RFC 9110, section 5.6.2.
+// isTokenByte reports whether a field name may hold a byte (RFC 9110, section 5.6.2).
 func isTokenByte(c byte) bool {
 	switch {
 	case c >= 'a' && c <= 'z', c >= 'A' && c <= 'Z', c >= '0' && c <= '9':
--- a/upstream/exchange.go
+++ b/upstream/exchange.go
@@ -1,6 +1,6 @@
 package upstream
 
-// This file defines Exchange, one request on one connection.
+// This file defines Exchange, one request on one connection; body.go reads the body of its response.
 
 import (
 	"context"
@@ -10,7 +10,6 @@
 	"strconv"
 	"strings"
 	"sync/atomic"
-	"syscall"
 	"time"
 
 	"bulrushtally/responsehead"
@@ -218,94 +217,6 @@
 // Header returns the header of the response.
 func (x *Exchange) Header() http.Header { return x.response.Header }
 
-// Read reads from the response body. It returns io.EOF only at the end of a complete
-// body; other errors are *ResponseError.
-func (x *Exchange) Read(b []byte) (int, error) {
-	n, err := x.response.Body.Read(b)
-	if errors.Is(err, io.EOF) {
-		if err := x.connectionError(); err != nil {
-			return n, &ResponseError{x.conn.address, err}
-		}
-		x.complete = true
-		x.response.Trailer = nil // it is not forwarded
-		x.pool.memory.setReceived(x)
-		return n, io.EOF
-	}
-	if err != nil {
-		return n, &ResponseError{x.conn.address, x.explain(err)}
-	}
-	return n, nil
-}
-
-// longAgo is a deadline that has passed.
-var longAgo = time.Unix(1, 0)
-
-// connectionError is asked at the end of a response. It returns why the connection broke, if that and not the server ended a
-// response whose end is that of its connection, or else nil.
-//
-// The kernel reports the error of a connection, such as a reset, to one call only. If that is the write of a long request body, the
-// read of the response sees an end of file, as if the server had closed the connection. If the server has closed it before it broke,
-// the write gets EPIPE. A write that still goes on has got no error, and the rest of the request is not waited for.
-func (x *Exchange) connectionError() error {
-	if x.bodyWritten == nil || !x.EndsWithConnection() || x.response.Body == http.NoBody {
-		return nil
-	}
-	x.conn.SetWriteDeadline(longAgo)
-	<-x.bodyWritten
-	var errno syscall.Errno
-	if errors.As(x.writeErr, &errno) && errno != syscall.EPIPE {
-		return x.writeErr
-	}
-	return nil
-}
-
-// ReadAll returns the complete response body. It returns a *ResponseError if the body
-// cannot be read to its end, is too long, or does not fit beside what other exchanges hold.
-func (x *Exchange) ReadAll() ([]byte, error) {
-	b := make([]byte, 0, firstCapacity(x.response.ContentLength))
-	if err := x.HoldBody(int64(cap(b))); err != nil {
-		return nil, err
-	}
-	for {
-		if len(b) == cap(b) {
-			capacity := nextCapacity(int64(cap(b)), x.response.ContentLength)
-			if err := x.HoldBody(capacity); err != nil {
-				return nil, err
-			}
-			b = append(make([]byte, 0, capacity), b...)
-		}
-		n, err := x.Read(b[len(b):cap(b)])
-		b = b[:len(b)+n]
-		switch {
-		case errors.Is(err, io.EOF):
-			return b, nil
-		case err != nil:
-			return nil, err
-		case len(b) > maxResponseBodyBytes:
-			return nil, &ResponseError{x.conn.address, errBodyTooLong}
-		}
-	}
-}
-
-// firstCapacity returns the first capacity of the buffer for a body of a length, or -1 if that is not known. A server that
-// only says that its body is long gets no more than one that sends it.
-func firstCapacity(length int64) int64 {
-	const unknownLength = 1 << 10
-	if length <= 0 {
-		return unknownLength
-	}
-	return min(length+1, firstBodyBytes)
-}
-
-// nextCapacity returns the capacity of the buffer for a body of a length, or -1 if that is not known, after a full one. One byte
-// more than the length leaves room to read its end.
-func nextCapacity(capacity, length int64) int64 {
-	if length >= capacity {
-		return min(2*capacity, length+1)
-	}
-	return 2 * capacity
-}
-
 // Close ends the exchange. It keeps the connection for reuse if the response was read
 // completely and no further bytes were received. Otherwise it closes the connection,
 // which cancels the request.
