upstream: an answer with a length of 2^63-1 no longer ends the process

Cause: ReadAll took the length from the head for the first capacity of its buffer. firstCapacity added one to it, which overflows to the least int64; min returned that, and make panicked ("makeslice: cap out of range"). No goroutine of a caller's connection recovers, so the process ended with all requests that it served. nextCapacity added one in the same way. The panic's stack was the evidence; no log or metric had to be added. A HEAD request needs no faulty server for it: its answer may name any length.

Change: ReadAll refuses a body whose length is over the limit of 16 MiB before it allocates or reads, so that the sums are of at most 2^24. Such a body was refused before, too, but after 16 MiB were read or the deadline passed. A response without a body, as to HEAD, has length 0, whatever its head names.

--- a/backend/broken_test.go
+++ b/backend/broken_test.go
@@ -26,6 +26,21 @@
 	})
 }
 
+func TestLongResponsesOfServersAreLostConnections(t *testing.T) {
+	client := backend.NewClient(timeouts)
+	headtest.EachLongResponse(t, func(t *testing.T, respond func(status, fields, part string) string) {
+		address := headtest.Serve(t, func(*http.Request) string {
+			return respond("200 OK", backend.AttemptIDHeader+": a1\r\n", `{"running": 7}`)
+		})
+		if body, err := get(client, address); faultOf(err) != backend.FaultConnectionLost {
+			t.Errorf("call: got body %q and error %v, want FaultConnectionLost", body, err)
+		}
+		if load, err := client.FetchLoad(context.Background(), address, "a1"); faultOf(err) != backend.FaultConnectionLost {
+			t.Errorf("load report: got %+v and error %v, want FaultConnectionLost", load, err)
+		}
+	})
+}
+
 // The whole request is written before the response is read, so a write that meets a reset ends the attempt.
 func TestPartOfAResponseToAnUploadIsALostConnection(t *testing.T) {
 	client := backend.NewClient(timeouts)
--- a/ledger/broken_test.go
+++ b/ledger/broken_test.go
@@ -27,6 +27,18 @@
 	})
 }
 
+func TestLongResponsesOfThePlatformSayNothing(t *testing.T) {
+	headtest.EachLongResponse(t, func(t *testing.T, respond func(status, fields, part string) string) {
+		c := newClientAt(headtest.Serve(t, func(*http.Request) string { return respond("200 OK", "", `{"key": "k"}`) }))
+		if err := c.Commit(ledger.Txn{}); !ledger.IsKind(err, ledger.Ambiguous) {
+			t.Errorf("write: got %v, want an error of kind %q", err, ledger.Ambiguous)
+		}
+		if row, err := c.Get("k"); !ledger.IsKind(err, ledger.Unavailable) {
+			t.Errorf("read: got row %+v and error %v, want an error of kind %q", row, err, ledger.Unavailable)
+		}
+	})
+}
+
 func TestPartOfAResponseToAnUploadToThePlatformSaysNothing(t *testing.T) {
 	c := newClientAt(headtest.ServeReset(t, "", "part"))
 	if err := c.PutObject("weights", []byte(headtest.Upload)); !ledger.IsKind(err, ledger.Ambiguous) {
--- a/responsehead/headtest/headtest.go
+++ b/responsehead/headtest/headtest.go
@@ -1,10 +1,11 @@
-// Package headtest gives tests responses that are not valid HTTP/1, and servers that send them.
+// Package headtest gives tests responses that are not valid HTTP/1 or too long, and servers that send them.
 package headtest
 
 import (
 	"bufio"
 	"fmt"
 	"io"
+	"math"
 	"net"
 	"net/http"
 	"strings"
@@ -54,6 +55,22 @@
 	}
 }
 
+// LongLengths are lengths of bodies that no client can hold, in bytes.
+var LongLengths = []int64{1 << 40, math.MaxInt64 - 1, math.MaxInt64}
+
+// EachLongResponse runs a test for each of LongLengths. The function respond returns a response with that length, of whose body only
+// part follows. Its head begins with fields, each of which ends its line.
+func EachLongResponse(t *testing.T, test func(t *testing.T, respond func(status, fields, part string) string)) {
+	t.Helper()
+	for _, length := range LongLengths {
+		t.Run(fmt.Sprint(length), func(t *testing.T) {
+			test(t, func(status, fields, part string) string {
+				return fmt.Sprintf("HTTP/1.1 %s\r\n%sContent-Length: %d\r\n\r\n%s", status, fields, length, part)
+			})
+		})
+	}
+}
+
 // Serve starts a server that reads one request on each connection, sends what respond returns for it, and closes the connection.
 // It runs until the test ends.
 func Serve(t testing.TB, respond func(*http.Request) string) (address string) {
--- a/upstream/body.go
+++ b/upstream/body.go
@@ -53,15 +53,20 @@
 }
 
 // ReadAll returns the complete response body. It returns a *ResponseError if the body
-// cannot be read to its end, is too long, or does not fit beside what other exchanges hold.
+// cannot be read to its end, is too long, or does not fit beside what other exchanges hold. A body whose length is known to be
+// too long is not read.
 func (x *Exchange) ReadAll() ([]byte, error) {
-	b := make([]byte, 0, firstCapacity(x.response.ContentLength))
+	length := x.bodyLength()
+	if length > maxResponseBodyBytes {
+		return nil, &ResponseError{x.conn.address, errBodyTooLong}
+	}
+	b := make([]byte, 0, firstCapacity(length))
 	if err := x.HoldBody(int64(cap(b))); err != nil {
 		return nil, err
 	}
 	for {
 		if len(b) == cap(b) {
-			capacity := nextCapacity(int64(cap(b)), x.response.ContentLength)
+			capacity := nextCapacity(int64(cap(b)), length)
 			if err := x.HoldBody(capacity); err != nil {
 				return nil, err
 			}
@@ -80,8 +85,16 @@
 	}
 }
 
-// firstCapacity returns the first capacity of the buffer for a body of a length, or -1 if that is not known. A server that
-// only says that its body is long gets no more than one that sends it.
+// bodyLength returns the length of the response body in bytes, or -1 if that is not known. The server may have given any length.
+func (x *Exchange) bodyLength() int64 {
+	if x.response.Body == http.NoBody { // as after HEAD, where the server may give the length of what GET returns
+		return 0
+	}
+	return x.response.ContentLength
+}
+
+// firstCapacity returns the first capacity of the buffer for a body of a length of at most maxResponseBodyBytes, or -1 if that is
+// not known. A server that only says that its body is long gets no more than one that sends it.
 func firstCapacity(length int64) int64 {
 	const unknownLength = 1 << 10
 	if length <= 0 {
@@ -90,8 +103,8 @@
 	return min(length+1, firstBodyBytes)
 }
 
-// nextCapacity returns the capacity of the buffer for a body of a length, or -1 if that is not known, after a full one. One byte
-// more than the length leaves room to read its end.
+// nextCapacity returns the capacity of the buffer after a full one, for a body of a length as in firstCapacity. One byte more than
+// the length leaves room to read its end.
 func nextCapacity(capacity, length int64) int64 {
 	if length >= capacity {
 		return min(2*capacity, length+1)
--- a/upstream/endless_test.go
+++ b/upstream/endless_test.go
@@ -4,6 +4,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"errors"
 	"fmt"
@@ -70,6 +71,69 @@
 	}
 }
 
+// A length of 2^63-1 made the first capacity of the buffer negative: making it panicked, which ended the process.
+func TestBodyThatIsKnownToBeTooLongIsRefused(t *testing.T) {
+	const limit = 16 << 20
+	for _, length := range append(headtest.LongLengths, limit+1) {
+		t.Run(fmt.Sprint(length), func(t *testing.T) {
+			address := startAnsweringServer(t, func(c net.Conn, _ *http.Request) {
+				fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\npart", length)
+				io.Copy(io.Discard, c) // until the router closes the connection
+			})
+			p := upstream.NewPool(upstream.DefaultOptions, "")
+			defer p.Close()
+			ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+			defer cancel()
+			x, err := p.Send(ctx, address, newRequest("r"))
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer x.Close()
+			body, err := x.ReadAll()
+			var broken *upstream.ResponseError
+			if !errors.As(err, &broken) || ctx.Err() != nil {
+				t.Errorf("got %d bytes and error %v, want a ResponseError before the deadline", len(body), err)
+			}
+		})
+	}
+}
+
+func TestBodyOfTheGreatestLengthArrives(t *testing.T) {
+	const limit = 16 << 20
+	address := startAnsweringServer(t, func(c net.Conn, _ *http.Request) {
+		fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", limit, strings.Repeat("x", limit))
+	})
+	p := upstream.NewPool(upstream.DefaultOptions, "")
+	defer p.Close()
+	if body, err := send(p, address, "r"); err != nil || len(body) != limit {
+		t.Errorf("got %d bytes and error %v, want %d bytes", len(body), err, limit)
+	}
+}
+
+// The response to a HEAD request names the length of the body that GET would give, however long that is.
+func TestLengthInAResponseWithoutBodyIsNotLimited(t *testing.T) {
+	for _, length := range headtest.LongLengths {
+		t.Run(fmt.Sprint(length), func(t *testing.T) {
+			address := startAnsweringServer(t, func(c net.Conn, _ *http.Request) {
+				fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n", length)
+			})
+			p := upstream.NewPool(upstream.DefaultOptions, "")
+			defer p.Close()
+			r := newRequest("r")
+			r.Method = http.MethodHead
+			r.Head = bytes.Replace(r.Head, []byte("GET"), []byte("HEAD"), 1)
+			x, err := p.Send(context.Background(), address, r)
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer x.Close()
+			if body, err := x.ReadAll(); err != nil || len(body) != 0 {
+				t.Errorf("got %d bytes and error %v, want an empty body", len(body), err)
+			}
+		})
+	}
+}
+
 // Each of many endless bodies was read up to 16 MiB, more than a small VM has.
 func TestEndlessBodiesShareOneBudget(t *testing.T) {
 	address, _ := startEndlessServer(t, "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n", "no answer ", 1<<40)
