operator: a long answer is an error, and does not end the command

An operator's command whose answer named a length of 2^40 bytes ended with "fatal error: runtime: out of memory" and the stacks of all goroutines, in place of an error that names the router.

Cause: fasthttp allocates the length that an answer names unless the client has a limit, and this client had none.

Change: a limit of 64 MiB, as ledger's client has.

--- a/operator/client.go
+++ b/operator/client.go
@@ -16,8 +16,10 @@
 	"bulrushtally/schedule"
 )
 
-// callTimeout is the timeout of one HTTP call.
-const callTimeout = 15 * time.Second
+const (
+	callTimeout      = 15 * time.Second // of one HTTP call
+	maxResponseBytes = 64 << 20         // size of the largest response body
+)
 
 // Client calls the administration API of one router. Its methods return a *Failure if the API
 // responds with one.
@@ -29,7 +31,11 @@
 // NewClient returns a client for the router at a URL, such as http://10.0.0.1:8080, that
 // authenticates with an operator's key.
 func NewClient(base, key string) *Client {
-	return &Client{baseURL: base + BasePath, key: key, http: &fasthttp.Client{MaxIdemponentCallAttempts: 1, ConfigureClient: checkResponses}}
+	return &Client{baseURL: base + BasePath, key: key, http: &fasthttp.Client{
+		MaxIdemponentCallAttempts: 1,
+		MaxResponseBodySize:       maxResponseBytes,
+		ConfigureClient:           checkResponses,
+	}}
 }
 
 // call sends an HTTP request with body encoded as JSON, unless it is nil, and decodes the
