ingress: numbers of tokens from callers no longer overflow

Cause: placement adds the tokens of the prompt to those expected of the response, and the sum of these overflowed to a negative number, which fits anywhere. By reading: the cost of such a request is negative, too, so that it gives its customer capacity in the account of fair shares; and the length of a segment makes the tokens that a server is thought to hold negative, so that nothing is dropped from that list any more. A number of 2^63 or more counted as absent, that is as 0.

Change: a number over 2^30, which is more than any server holds, counts as 2^30. The greatest sums are then of 2^34.

--- a/ingress/headers.go
+++ b/ingress/headers.go
@@ -3,6 +3,7 @@
 // This file defines the header names of a deployment and parses request headers.
 
 import (
+	"errors"
 	"math"
 	"net/http"
 	"strconv"
@@ -98,13 +99,16 @@
 // leastLimit replaces lower limits, in requests per second.
 const leastLimit = 0.01
 
-// parseCount returns a number of tokens, or 0 if s is not one.
+// maxTokenCount replaces higher numbers of tokens. It is more than any backend server holds, and sums of several do not overflow.
+const maxTokenCount = 1 << 30
+
+// parseCount returns a number of tokens of at most maxTokenCount, or 0 if s is not one.
 func parseCount(s string) int {
-	n, err := strconv.Atoi(strings.TrimSpace(s))
-	if err != nil || n < 0 {
+	n, err := strconv.Atoi(strings.TrimSpace(s)) // the greatest int for a greater number
+	if err != nil && !errors.Is(err, strconv.ErrRange) || n < 0 {
 		return 0
 	}
-	return n
+	return min(n, maxTokenCount)
 }
 
 // maxSegments is the number of leading segments of a prompt that are considered.
