ledger: a malformed response to a read is unavailable, not ambiguous

An operator's change was reported as in doubt, with the advice to read the row, after a read whose response was not valid JSON.

Cause: Client.read turned the kind of a lost response into Unavailable, since a read has no effect, and returned that of a malformed one, Ambiguous, as it came from decoding. Change: both take the same way.

TestMalformedResponseToAReadIsUnavailable failed before and passes.

--- a/ledger/broken_test.go
+++ b/ledger/broken_test.go
@@ -39,6 +39,14 @@
 	})
 }
 
+// A read has no effect, so that there is nothing to find out when its response is malformed.
+func TestMalformedResponseToAReadIsUnavailable(t *testing.T) {
+	address := headtest.Serve(t, func(*http.Request) string { return "HTTP/1.1 200 OK\r\nContent-Length: 7\r\n\r\n{\"key\":" })
+	if row, err := newClientAt(address).Get("k"); !ledger.IsKind(err, ledger.Unavailable) {
+		t.Errorf("got row %+v and error %v, want an error of kind %q", row, err, ledger.Unavailable)
+	}
+}
+
 func TestPartOfAResponseToAnUploadToThePlatformSaysNothing(t *testing.T) {
 	c := newClientAt(headtest.ServeReset(t, "", "part"))
 	if err := c.PutObject("weights", []byte(headtest.Upload)); !ledger.IsKind(err, ledger.Ambiguous) {
--- a/ledger/client.go
+++ b/ledger/client.go
@@ -125,20 +125,20 @@
 	return rate.NewLimiter(rate.Limit(perSecond), max(minBurstRequests, int(perSecond/2)))
 }
 
-// read gets a path of the platform and decodes the response into out. A lost response is of
+// read gets a path of the platform and decodes the response into out. A lost or malformed response is of
 // kind Unavailable, since a read has no effect.
 func (c *Client) read(path string, query url.Values, out any) error {
 	if !c.reads.Allow() {
 		return &Error{Throttled, "GET " + path, errors.New("read budget spent")}
 	}
 	resp, err := c.call("GET", path+"?"+query.Encode(), nil)
-	if err != nil {
-		if IsKind(err, Ambiguous) {
-			return &Error{Unavailable, "GET " + path, err}
-		}
-		return err
+	if err == nil {
+		err = decodeResponse("GET "+path, resp.body, out)
+	}
+	if IsKind(err, Ambiguous) {
+		return &Error{Unavailable, "GET " + path, err}
 	}
-	return decodeResponse("GET "+path, resp.body, out)
+	return err
 }
 
 // write calls the platform with a body, sent as it is if it is a []byte and as JSON
