upstream: interim responses are counted apart from late ones

A server that sent three interim responses (1xx) before its response, or two and a late response to an earlier request, was taken for one that broke its response off: 502, or a second run.

Cause: one limit of two was for interim responses and for responses to other requests. Change: a limit for each; five interim ones, as in net/http's client, and two late ones. Endless interim responses still end as broken.

TestExchanges/several_interim_responses_and_a_late_response failed before and passes; its case of interim responses without end passed before, too.

--- a/upstream/exchange.go
+++ b/upstream/exchange.go
@@ -43,7 +43,8 @@
 
 // Limits of what is read from a backend server.
 const (
-	maxSkippedResponses  = 2 // interim (1xx) responses and responses to other requests that are skipped before the response
+	maxInterimResponses  = 5 // skipped before the response; those with a status of 1xx
+	maxStaleResponses    = 2 // skipped before the response; those to other requests
 	maxResponseHeadBytes = 64 << 10
 	maxResponseBodyBytes = 16 << 20
 	firstBodyBytes       = 64 << 10 // largest first capacity of a body's buffer, which grows with what comes
@@ -116,16 +117,17 @@
 }
 
 // readHead reads the head of the response. It skips interim responses and late
-// responses to earlier requests, and fails if there are more than maxSkippedResponses, or if a head is not valid, is
-// longer than maxResponseHeadBytes or does not fit beside what other exchanges hold. A response without an ID may be
+// responses to earlier requests, and fails if there are more than maxInterimResponses or maxStaleResponses, or if a head is not
+// valid, is longer than maxResponseHeadBytes or does not fit beside what other exchanges hold. A response without an ID may be
 // to any request that the connection carried, so only that on a new connection is the response to this one.
 func (x *Exchange) readHead(r *Request) error {
-	for range maxSkippedResponses + 1 {
+	for interim, stale := 0, 0; interim <= maxInterimResponses && stale <= maxStaleResponses; {
 		resp, err := x.readOneHead(r.Method)
 		if err != nil {
 			return err
 		}
 		if resp.StatusCode >= 100 && resp.StatusCode < 200 {
+			interim++
 			continue
 		}
 		if resp.ProtoMajor != 1 {
@@ -136,6 +138,7 @@
 			if _, err := io.CopyN(io.Discard, resp.Body, maxResponseBodyBytes); !errors.Is(err, io.EOF) {
 				return errNoResponse
 			}
+			stale++
 			continue
 		}
 		if id == "" && r.ID != "" && x.reused {
--- a/upstream/upstream_test.go
+++ b/upstream/upstream_test.go
@@ -98,6 +98,8 @@
 		{"no response", []string{""}, []string{"broken"}, 1},
 		{"response is not HTTP", []string{"\x00\x01\x02\r\n\r\n"}, []string{"broken"}, 1},
 		{"interim response", []string{"HTTP/1.1 102 Processing\r\n\r\n" + validResponse}, []string{"r0"}, 1},
+		{"several interim responses and a late response", []string{validResponse, strings.Repeat("HTTP/1.1 102 Processing\r\n\r\n", 3) + "HTTP/1.1 200 OK\r\nId: old\r\nContent-Length: 2\r\n\r\nno" + validResponse}, []string{"r0", "r1"}, 1},
+		{"interim responses without end", []string{strings.Repeat("HTTP/1.1 102 Processing\r\n\r\n", 100) + validResponse}, []string{"broken"}, 1},
 		{"Connection: close", []string{strings.Replace(validResponse, "Id:", "Connection: close\r\nId:", 1), validResponse}, []string{"r0", "r1"}, 2},
 		{"Keep-Alive with a zero timeout", []string{strings.Replace(validResponse, "Id:", "Keep-Alive: timeout=0\r\nId:", 1), validResponse}, []string{"r0", "r1"}, 2},
 	}
