upstream: a connection that comes back after Close is closed

A gateway's pool kept the connection of a request that ended after the pool was closed, so that its server saw it open until the process ended.

Cause: Close emptied the list of idle connections, and putIdle went on adding to it. Change: a closed pool keeps none.

TestConnectionOfARequestThatEndsAfterCloseIsClosed failed before and passes.

--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -48,6 +48,7 @@
 
 	mu     sync.Mutex
 	idle   map[string][]*conn // by address, the last one returned to the pool at the end
+	closed bool               // no idle connections are kept any more
 	dialed int                // number of connections
 	reused int                // how often an idle connection was used again
 }
@@ -176,11 +177,11 @@
 	return c, nil
 }
 
-// putIdle keeps a connection for a later request, or closes it if enough are kept.
+// putIdle keeps a connection for a later request, or closes it if enough are kept or the pool is closed.
 func (p *Pool) putIdle(c *conn) {
 	p.mu.Lock()
 	list := p.idle[c.address]
-	if len(list) < p.options.MaxIdleConnsPerAddress {
+	if !p.closed && len(list) < p.options.MaxIdleConnsPerAddress {
 		p.idle[c.address] = append(list, c)
 		c = nil
 	}
@@ -215,11 +216,12 @@
 	}
 }
 
-// Close closes all idle connections.
+// Close closes all idle connections. Those of requests that have not ended are closed as they end.
 func (p *Pool) Close() {
 	p.mu.Lock()
 	all := p.idle
 	p.idle = map[string][]*conn{}
+	p.closed = true
 	p.mu.Unlock()
 	for _, list := range all {
 		for _, c := range list {
--- a/upstream/upstream_test.go
+++ b/upstream/upstream_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"os"
@@ -13,6 +14,7 @@
 	"testing"
 	"time"
 
+	"bulrushtally/responsehead/headtest"
 	"bulrushtally/upstream"
 )
 
@@ -125,6 +127,31 @@
 	}
 }
 
+// A request that ends after its router closed the pool put its connection back, and nobody closed it.
+func TestConnectionOfARequestThatEndsAfterCloseIsClosed(t *testing.T) {
+	closed := make(chan struct{})
+	address := headtest.Listen(t, func(c *net.TCPConn) {
+		defer close(closed)
+		fmt.Fprint(c, strings.ReplaceAll(validResponse, "ID", "r0"))
+		io.Copy(io.Discard, c) // until the router closes the connection
+	})
+	p := upstream.NewPool(upstream.DefaultOptions, "")
+	x, err := p.Send(context.Background(), address, newRequest("r0"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := x.ReadAll(); err != nil {
+		t.Fatal(err)
+	}
+	p.Close()
+	x.Close()
+	select {
+	case <-closed:
+	case <-time.After(2 * time.Second):
+		t.Error("got the connection open 2 s after both were closed, want it closed")
+	}
+}
+
 func TestUnreachableServerGivesDialError(t *testing.T) {
 	ln, err := net.Listen("tcp4", "127.0.0.1:0")
 	if err != nil {
