headtest: a type for lengths that no client can hold

The tests of long answers passed a function with three texts from package to package; they now take a LongLength, as those of broken heads take a Fault, and gateway's build on it with one line.

--- a/backend/broken_test.go
+++ b/backend/broken_test.go
@@ -28,9 +28,9 @@
 
 func TestLongResponsesOfServersAreLostConnections(t *testing.T) {
 	client := backend.NewClient(timeouts)
-	headtest.EachLongResponse(t, func(t *testing.T, respond func(status, fields, part string) string) {
+	headtest.EachLongLength(t, func(t *testing.T, l headtest.LongLength) {
 		address := headtest.Serve(t, func(*http.Request) string {
-			return respond("200 OK", backend.AttemptIDHeader+": a1\r\n", `{"running": 7}`)
+			return l.Response("200 OK", backend.AttemptIDHeader+": a1\r\n", `{"running": 7}`)
 		})
 		if body, err := get(client, address); faultOf(err) != backend.FaultConnectionLost {
 			t.Errorf("call: got body %q and error %v, want FaultConnectionLost", body, err)
--- a/gateway/longanswer_test.go
+++ b/gateway/longanswer_test.go
@@ -12,26 +12,18 @@
 	"bulrushtally/responsehead/headtest"
 )
 
-// longAnswer returns the answer of a server to a request, with a length from headtest.LongLengths and a cut-off body.
-type longAnswer func(b *platformtest.Server, r *http.Request, status string) string
-
-// eachLongAnswer runs a test for each of headtest.LongLengths.
-func eachLongAnswer(t *testing.T, test func(t *testing.T, answer longAnswer)) {
-	t.Helper()
-	headtest.EachLongResponse(t, func(t *testing.T, respond func(status, fields, part string) string) {
-		test(t, func(b *platformtest.Server, r *http.Request, status string) string {
-			return respond(status, b.AnswerHead(r), "part")
-		})
-	})
+// longAnswer returns a function for Server.SendAnswers: each request gets an answer with a length and a cut-off body.
+func longAnswer(l headtest.LongLength, b *platformtest.Server, status string) func(*http.Request) string {
+	return func(r *http.Request) string { return l.Response(status, b.AnswerHead(r), "part") }
 }
 
 func TestCallWithLongAnswerRunsElsewhereIfItMayBeRepeated(t *testing.T) {
-	eachLongAnswer(t, func(t *testing.T, answer longAnswer) {
+	headtest.EachLongLength(t, func(t *testing.T, l headtest.LongLength) {
 		s := newTestbed(t, deskService)
 		one := s.startServer("i-1", "desk", 0)
 		s.startServer("i-2", "desk", 0)
 		s.waitReady()
-		one.SendAnswers(func(r *http.Request) string { return answer(one, r, "200 OK") })
+		one.SendAnswers(longAnswer(l, one, "200 OK"))
 		if a := s.sendUntilReceived(one, "/desk/x", "body"); a.status != 200 || a.body != "done" {
 			t.Errorf("got status %d, error %v and body %q, want the answer of the other server; log:\n%s", a.status, a.err, a.body, s.logs)
 		}
@@ -43,12 +35,12 @@
 
 // The request has run and must run no second time.
 func TestCallWithLongAnswerThatMayNotBeRepeatedEndsAsFailed(t *testing.T) {
-	eachLongAnswer(t, func(t *testing.T, answer longAnswer) {
+	headtest.EachLongLength(t, func(t *testing.T, l headtest.LongLength) {
 		s := newTestbed(t, ordersService)
 		one, two := s.startServer("i-1", "orders", 0), s.startServer("i-2", "orders", 0)
 		s.waitReady()
-		one.SendAnswers(func(r *http.Request) string { return answer(one, r, "200 OK") })
-		two.SendAnswers(func(r *http.Request) string { return answer(two, r, "200 OK") })
+		one.SendAnswers(longAnswer(l, one, "200 OK"))
+		two.SendAnswers(longAnswer(l, two, "200 OK"))
 		if a := s.send("POST", "/orders/x", "body"); a.status != 502 || a.header.Get("Retry-After") != "" {
 			t.Errorf("got status %d, error %v, body %q and header %v, want 502 without Retry-After", a.status, a.err, a.body, a.header)
 		}
@@ -60,11 +52,11 @@
 
 // An answer with a status of 500 is not final on a route that allows repeats, but a cut-off one is no better.
 func TestLongAnswerToARepeatIsNotForwarded(t *testing.T) {
-	eachLongAnswer(t, func(t *testing.T, answer longAnswer) {
+	headtest.EachLongLength(t, func(t *testing.T, l headtest.LongLength) {
 		s := newTestbed(t, deskService)
 		one, two := s.startServer("i-1", "desk", 0), s.startServer("i-2", "desk", 0)
 		s.waitReady()
-		one.SendAnswers(func(r *http.Request) string { return answer(one, r, "200 OK") })
+		one.SendAnswers(longAnswer(l, one, "200 OK"))
 		two.SetDefaultBehaviour(platformtest.FailWith500)
 		a := s.sendUntilReceived(one, "/desk/x", "body")
 		if a.status != 500 && a.status != 502 || strings.Contains(a.body, "part") {
@@ -77,12 +69,12 @@
 func TestStreamWithLongAnswerBeginsElsewhere(t *testing.T) {
 	for _, status := range []string{"200 OK", "500 Internal Server Error"} {
 		t.Run(status, func(t *testing.T) {
-			eachLongAnswer(t, func(t *testing.T, answer longAnswer) {
+			headtest.EachLongLength(t, func(t *testing.T, l headtest.LongLength) {
 				s := newTestbed(t, sentOnService)
 				one := s.startServer("i-1", "models", 12)
 				s.startServer("i-2", "models", 12)
 				s.waitReady()
-				one.SendAnswers(func(r *http.Request) string { return answer(one, r, status) })
+				one.SendAnswers(longAnswer(l, one, status))
 				a := s.sendUntilReceived(one, "/models/x", "body")
 				if a.err != nil || a.status != 200 || strings.Contains(a.body, "part") || strings.Count(a.body, "id: ") != 12 {
 					t.Errorf("got status %d, error %v and body %q, want the 12 events of the other server; log:\n%s", a.status, a.err, a.body, s.logs)
@@ -94,7 +86,7 @@
 
 // The source has stopped, or not: an answer to the order that is not read to its end does not say.
 func TestStreamIsNotTakenForMovedAfterALongAnswerToTheOrder(t *testing.T) {
-	eachLongAnswer(t, func(t *testing.T, answer longAnswer) {
+	headtest.EachLongLength(t, func(t *testing.T, l headtest.LongLength) {
 		s, servers := newMigrationTestbed(t)
 		for _, b := range servers {
 			b.SetDefaultBehaviour(platformtest.Succeed)
@@ -102,7 +94,7 @@
 				if r.URL.Path != "/-/kv-move" {
 					return ""
 				}
-				return answer(b, r, "200 OK")
+				return l.Response("200 OK", b.AnswerHead(r), "part")
 			})
 		}
 		a := s.sendLongPrompt()
--- a/ledger/broken_test.go
+++ b/ledger/broken_test.go
@@ -28,8 +28,8 @@
 }
 
 func TestLongResponsesOfThePlatformSayNothing(t *testing.T) {
-	headtest.EachLongResponse(t, func(t *testing.T, respond func(status, fields, part string) string) {
-		c := newClientAt(headtest.Serve(t, func(*http.Request) string { return respond("200 OK", "", `{"key": "k"}`) }))
+	headtest.EachLongLength(t, func(t *testing.T, l headtest.LongLength) {
+		c := newClientAt(headtest.Serve(t, func(*http.Request) string { return l.Response("200 OK", "", `{"key": "k"}`) }))
 		if err := c.Commit(ledger.Txn{}); !ledger.IsKind(err, ledger.Ambiguous) {
 			t.Errorf("write: got %v, want an error of kind %q", err, ledger.Ambiguous)
 		}
--- a/operator/broken_test.go
+++ b/operator/broken_test.go
@@ -31,8 +31,8 @@
 
 // The client allocated what a response said of its length, which ended the process.
 func TestLongResponsesToOperatorsAreErrors(t *testing.T) {
-	headtest.EachLongResponse(t, func(t *testing.T, respond func(status, fields, part string) string) {
-		address := headtest.Serve(t, func(*http.Request) string { return respond("200 OK", "", `{"revision": 7}`) })
+	headtest.EachLongLength(t, func(t *testing.T, l headtest.LongLength) {
+		address := headtest.Serve(t, func(*http.Request) string { return l.Response("200 OK", "", `{"revision": 7}`) })
 		if status, err := operator.NewClient("http://"+address, "key").Status(); err == nil {
 			t.Errorf("got %+v, want an error", status)
 		}
--- a/responsehead/headtest/headtest.go
+++ b/responsehead/headtest/headtest.go
@@ -55,19 +55,23 @@
 	}
 }
 
-// LongLengths are lengths of bodies that no client can hold, in bytes.
-var LongLengths = []int64{1 << 40, math.MaxInt64 - 1, math.MaxInt64}
+// LongLength is the length of a body that no client can hold, in bytes.
+type LongLength int64
 
-// EachLongResponse runs a test for each of LongLengths. The function respond returns a response with that length, of whose body only
-// part follows. Its head begins with fields, each of which ends its line.
-func EachLongResponse(t *testing.T, test func(t *testing.T, respond func(status, fields, part string) string)) {
+// LongLengths are the lengths that a client must refuse. Adding one to the last overflows.
+var LongLengths = []LongLength{1 << 40, math.MaxInt64 - 1, math.MaxInt64}
+
+// Response returns a response with that length, of whose body only part follows. Its head begins with fields, each of which ends its
+// line. The status is a code and a reason.
+func (l LongLength) Response(status, fields, part string) string {
+	return fmt.Sprintf("HTTP/1.1 %s\r\n%sContent-Length: %d\r\n\r\n%s", status, fields, l, part)
+}
+
+// EachLongLength runs a test for each of LongLengths.
+func EachLongLength(t *testing.T, test func(t *testing.T, l LongLength)) {
 	t.Helper()
-	for _, length := range LongLengths {
-		t.Run(fmt.Sprint(length), func(t *testing.T) {
-			test(t, func(status, fields, part string) string {
-				return fmt.Sprintf("HTTP/1.1 %s\r\n%sContent-Length: %d\r\n\r\n%s", status, fields, length, part)
-			})
-		})
+	for _, l := range LongLengths {
+		t.Run(fmt.Sprint(l), func(t *testing.T) { test(t, l) })
 	}
 }
 
--- a/upstream/endless_test.go
+++ b/upstream/endless_test.go
@@ -77,7 +77,7 @@
 	for _, length := range append(headtest.LongLengths, limit+1) {
 		t.Run(fmt.Sprint(length), func(t *testing.T) {
 			address := startAnsweringServer(t, func(c net.Conn, _ *http.Request) {
-				fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\npart", length)
+				fmt.Fprint(c, length.Response("200 OK", "", "part"))
 				io.Copy(io.Discard, c) // until the router closes the connection
 			})
 			p := upstream.NewPool(upstream.DefaultOptions, "")
@@ -112,26 +112,22 @@
 
 // The response to a HEAD request names the length of the body that GET would give, however long that is.
 func TestLengthInAResponseWithoutBodyIsNotLimited(t *testing.T) {
-	for _, length := range headtest.LongLengths {
-		t.Run(fmt.Sprint(length), func(t *testing.T) {
-			address := startAnsweringServer(t, func(c net.Conn, _ *http.Request) {
-				fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n", length)
-			})
-			p := upstream.NewPool(upstream.DefaultOptions, "")
-			defer p.Close()
-			r := newRequest("r")
-			r.Method = http.MethodHead
-			r.Head = bytes.Replace(r.Head, []byte("GET"), []byte("HEAD"), 1)
-			x, err := p.Send(context.Background(), address, r)
-			if err != nil {
-				t.Fatal(err)
-			}
-			defer x.Close()
-			if body, err := x.ReadAll(); err != nil || len(body) != 0 {
-				t.Errorf("got %d bytes and error %v, want an empty body", len(body), err)
-			}
-		})
-	}
+	headtest.EachLongLength(t, func(t *testing.T, l headtest.LongLength) {
+		address := startAnsweringServer(t, func(c net.Conn, _ *http.Request) { fmt.Fprint(c, l.Response("200 OK", "", "")) })
+		p := upstream.NewPool(upstream.DefaultOptions, "")
+		defer p.Close()
+		r := newRequest("r")
+		r.Method = http.MethodHead
+		r.Head = bytes.Replace(r.Head, []byte("GET"), []byte("HEAD"), 1)
+		x, err := p.Send(context.Background(), address, r)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer x.Close()
+		if body, err := x.ReadAll(); err != nil || len(body) != 0 {
+			t.Errorf("got %d bytes and error %v, want an empty body", len(body), err)
+		}
+	})
 }
 
 // Each of many endless bodies was read up to 16 MiB, more than a small VM has.
