upstream, ingress, headtest: comments, read as a newcomer would

Comments only: what the limits of skipped responses count, why sums of lengths do not overflow, and which failure the tests of long responses guard against. vet, staticcheck and the tests of upstream, ledger, platform, backend and responsehead pass.

--- a/backend/broken_test.go
+++ b/backend/broken_test.go
@@ -26,6 +26,7 @@
 	})
 }
 
+// A client that allocates what a response says of its length would end the process.
 func TestLongResponsesOfServersAreLostConnections(t *testing.T) {
 	client := backend.NewClient(timeouts)
 	headtest.EachLongLength(t, func(t *testing.T, l headtest.LongLength) {
--- a/gateway/extremes_test.go
+++ b/gateway/extremes_test.go
@@ -47,7 +47,7 @@
 	return b.String()
 }
 
-// extremeResponse returns a response of a server to a request.
+// extremeResponse returns a response of a server to a request. With some values it is not valid HTTP, which the router must bear, too.
 func extremeResponse(r *rand.Rand, b *platformtest.Server, req *http.Request) string {
 	statuses := []string{"102 Processing", "200 OK", "200 OK", "200 OK", "206 Partial Content", "404 Not Found", "500 Internal Server Error", "503 Service Unavailable"}
 	status := statuses[r.IntN(len(statuses))]
--- a/ingress/headers.go
+++ b/ingress/headers.go
@@ -104,7 +104,7 @@
 
 // parseCount returns a number of tokens of at most maxTokenCount, or 0 if s is not one.
 func parseCount(s string) int {
-	n, err := strconv.Atoi(strings.TrimSpace(s)) // the greatest int for a greater number
+	n, err := strconv.Atoi(strings.TrimSpace(s)) // with ErrRange, n is the int nearest to the number
 	if err != nil && !errors.Is(err, strconv.ErrRange) || n < 0 {
 		return 0
 	}
--- a/ledger/broken_test.go
+++ b/ledger/broken_test.go
@@ -27,6 +27,7 @@
 	})
 }
 
+// A client that allocates what a response says of its length would end the process.
 func TestLongResponsesOfThePlatformSayNothing(t *testing.T) {
 	headtest.EachLongLength(t, func(t *testing.T, l headtest.LongLength) {
 		c := newClientAt(headtest.Serve(t, func(*http.Request) string { return l.Response("200 OK", "", `{"key": "k"}`) }))
--- a/responsehead/headtest/headtest.go
+++ b/responsehead/headtest/headtest.go
@@ -58,7 +58,7 @@
 // LongLength is the length of a body that no client can hold, in bytes.
 type LongLength int64
 
-// LongLengths are the lengths that a client must refuse. Adding one to the last overflows.
+// LongLengths are lengths for which a client must neither allocate nor wait. Adding one to the last overflows.
 var LongLengths = []LongLength{1 << 40, math.MaxInt64 - 1, math.MaxInt64}
 
 // Response returns a response with that length, of whose body only part follows. Its head begins with fields, each of which ends its
--- a/upstream/body.go
+++ b/upstream/body.go
@@ -93,8 +93,8 @@
 	return x.response.ContentLength
 }
 
-// firstCapacity returns the first capacity of the buffer for a body of a length of at most maxResponseBodyBytes, or -1 if that is
-// not known. A server that only says that its body is long gets no more than one that sends it.
+// firstCapacity returns the first capacity of the buffer for a body. The length is at most maxResponseBodyBytes, so that sums with
+// it do not overflow, or -1 if it is not known. A server that only says that its body is long gets no more than one that sends it.
 func firstCapacity(length int64) int64 {
 	const unknownLength = 1 << 10
 	if length <= 0 {
@@ -103,7 +103,7 @@
 	return min(length+1, firstBodyBytes)
 }
 
-// nextCapacity returns the capacity of the buffer after a full one, for a body of a length as in firstCapacity. One byte more than
+// nextCapacity returns the capacity of the buffer that replaces a full one, for a length as in firstCapacity. One byte more than
 // the length leaves room to read its end.
 func nextCapacity(capacity, length int64) int64 {
 	if length >= capacity {
--- a/upstream/endless_test.go
+++ b/upstream/endless_test.go
@@ -98,6 +98,7 @@
 	}
 }
 
+// The limit must not refuse a sound body that just reaches it.
 func TestBodyOfTheGreatestLengthArrives(t *testing.T) {
 	const limit = 16 << 20
 	address := startAnsweringServer(t, func(c net.Conn, _ *http.Request) {
--- a/upstream/exchange.go
+++ b/upstream/exchange.go
@@ -43,8 +43,8 @@
 
 // Limits of what is read from a backend server.
 const (
-	maxInterimResponses  = 5 // skipped before the response; those with a status of 1xx
-	maxStaleResponses    = 2 // skipped before the response; those to other requests
+	maxInterimResponses  = 5 // most responses with a status of 1xx that are skipped before the response
+	maxStaleResponses    = 2 // most responses to other requests that are skipped before it
 	maxResponseHeadBytes = 64 << 10
 	maxResponseBodyBytes = 16 << 20
 	firstBodyBytes       = 64 << 10 // largest first capacity of a body's buffer, which grows with what comes
