--- a/review/lab3/client.go
+++ b/review/lab3/client.go
@@ -24,7 +24,6 @@
 	key    string
 	conn   net.Conn
 	reader *bufio.Reader
-	pace   int // bytes of a body a second; 0 means no limit
 }
 
 // answer is what came back for a request.
@@ -33,7 +32,6 @@
 	worker   string // that says it answered
 	body     string
 	complete bool
-	kept     bool // the request was sent on a connection that had carried one before
 	err      error
 }
 
@@ -47,7 +45,7 @@
 
 // send sends a request and reads the whole answer.
 func (c *client) send(r *request) answer {
-	a := answer{kept: c.conn != nil}
+	var a answer
 	if c.conn == nil {
 		conn, err := net.DialTimeout("tcp4", c.router, time.Second)
 		if err != nil {
@@ -70,7 +68,7 @@
 		c.drop()
 		return a
 	}
-	if a.err = c.write(r.body); a.err != nil {
+	if _, a.err = c.conn.Write(r.body); a.err != nil {
 		c.drop()
 		return a
 	}
@@ -89,27 +87,6 @@
 	return a
 }
 
-// write writes a body at the client's pace.
-func (c *client) write(body []byte) error {
-	const step = 10 * time.Millisecond
-	began := time.Now()
-	for sent := 0; sent < len(body); {
-		n := len(body)
-		if c.pace > 0 {
-			due := int(time.Since(began).Seconds()*float64(c.pace)) + c.pace/100
-			if n = min(n, due); n <= sent {
-				time.Sleep(step)
-				continue
-			}
-		}
-		if _, err := c.conn.Write(body[sent:n]); err != nil {
-			return err
-		}
-		sent = n
-	}
-	return nil
-}
-
 // drop closes the connection.
 func (c *client) drop() {
 	if c.conn != nil {
--- a/review/lab3/deployment.go
+++ b/review/lab3/deployment.go
@@ -28,7 +28,7 @@
 
 // settings are the values of the placeholders that differ between the cases.
 type settings struct {
-	memoryMB int
+	revokeMS int
 	store    string // address of the store
 }
 
@@ -112,9 +112,9 @@
 		return err
 	}
 	values := map[string]string{
-		"node": r.name, "zone": "zone-a", "ip": "127.0.0.1", "bootstrap": "true", "limits.memory_mb": strconv.Itoa(r.values.memoryMB),
+		"node": r.name, "zone": "zone-a", "ip": "127.0.0.1", "bootstrap": "true", "limits.memory_mb": "284",
 		"limits.max_fds": "4100", "listen.front": r.front, "listen.ready": r.ready, "port_range.0": strconv.Itoa(r.peerPort), "provider.addr": r.values.store,
-		"bounds.contact_ms": "3000", "bounds.config_apply_ms": "2000", "bounds.revoke_ms": "5000", "bounds.grace_s": "8",
+		"bounds.contact_ms": "3000", "bounds.config_apply_ms": "2000", "bounds.revoke_ms": strconv.Itoa(r.values.revokeMS), "bounds.grace_s": "8",
 		"bounds.retry_ratio": "0.2", "bounds.retry_window_s": "10", "bounds.retry_slack": "52", "bounds.cold_over": "1.5", "bounds.cold_slack": "5",
 	}
 	out := string(text)
@@ -171,13 +171,6 @@
 	return nil
 }
 
-// pid returns the number of the router's process.
-func (r *router) pid() int {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return r.command.Process.Pid
-}
-
 // signal sends a signal to the router's process.
 func (r *router) signal(s syscall.Signal) {
 	r.mu.Lock()
--- a/review/lab3/main.go
+++ b/review/lab3/main.go
@@ -24,8 +24,7 @@
 	"crash-beside-move":  playCrashBesideMove,
 	"crash-after-resume": playCrashAfterResume,
 	"part-17":            playPart17,
-	"memory":             playMemory,
-	"line-ends":          playLineEnds,
+	"reload":             playReload,
 }
 
 func main() { os.Exit(run()) }
--- a/review/lab3/parts.go
+++ b/review/lab3/parts.go
@@ -92,7 +92,7 @@
 	}
 	var routers []*router
 	for n := range 2 {
-		router, err := d.startRouter(fmt.Sprintf("router-%d", n+1), settings{memoryMB: 284, store: d.store.Address()})
+		router, err := d.startRouter(fmt.Sprintf("router-%d", n+1), settings{revokeMS: 5000, store: d.store.Address()})
 		if err != nil {
 			return false, err
 		}
