--- a/review/lab3/deployment.go
+++ b/review/lab3/deployment.go
@@ -45,14 +45,14 @@
 	if err != nil {
 		return nil, err
 	}
+	started.Lock()
+	started.dirs = append(started.dirs, dir)
+	started.Unlock()
 	return &deployment{record: r, store: platformtest.NewStore(), dir: dir}, nil
 }
 
-// close ends the store and deletes the temporary files.
-func (d *deployment) close() {
-	d.store.Close()
-	os.RemoveAll(d.dir)
-}
+// close ends the store.
+func (d *deployment) close() { d.store.Close() }
 
 // router is one router's process. It is started again when it ends, as the platform does.
 type router struct {
@@ -128,19 +128,23 @@
 	return os.WriteFile(r.settingsPath, []byte(out), 0o600)
 }
 
-// started are the routers' processes that were started, to be ended with the program.
+// started is what was started or made, to be ended or deleted with the program.
 var started struct {
 	sync.Mutex
 	processes []*os.Process
+	dirs      []string // temporary
 }
 
-// endRouters kills all routers' processes that still run.
-func endRouters() {
+// cleanUp kills all routers' processes that still run, and deletes the temporary files.
+func cleanUp() {
 	started.Lock()
 	defer started.Unlock()
 	for _, p := range started.processes {
 		p.Kill()
 	}
+	for _, dir := range started.dirs {
+		os.RemoveAll(dir)
+	}
 }
 
 // start starts the process.
--- a/review/lab3/main.go
+++ b/review/lab3/main.go
@@ -45,10 +45,10 @@
 	signal.Notify(interrupted, syscall.SIGINT, syscall.SIGTERM)
 	go func() {
 		<-interrupted
-		endRouters()
+		cleanUp()
 		os.Exit(notRun)
 	}()
-	defer endRouters()
+	defer cleanUp()
 	trouble := os.Getenv("TROUBLE") != "0"
 	r.printf("case %s, with its disruption: %v", os.Args[1], trouble)
 	broken, err := cases[os.Args[1]](r, trouble)
