--- a/review/lab3/worker.go
+++ b/review/lab3/worker.go
@@ -196,8 +196,8 @@
 		_, err := io.WriteString(c, "HTTP/1.1 404 Not Found\r\nContent-Length: 0\r\n\r\n")
 		return err
 	}
+	close(stop) // the run stops first, and is copied then
 	time.Sleep(w.moveTime)
-	close(stop)
 	answer := fmt.Sprintf(`{"handle":"h-%s","create_rev":1}`, order.ID)
 	_, err := fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(answer), answer)
 	return err
